--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Few targets: what each needs is installed by `make setup`, which the others call.
+
+MODULES := shared standin entry agent operate demo
+PACKAGES := $(MODULES:%=./%/...)
+ARGS ?=
+
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+.PHONY: setup demo test lint model measure capacity fuzz bench build generate
+
+setup:
+	@command -v spin >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq spin gcc make; } >/dev/null
+
+build:
+	@mkdir -p bin
+	go build -o bin/chervil-entry ./entry
+	go build -o bin/chervil-agent ./agent
+	go build -o bin/chervil ./operate
+
+demo:
+	go run ./demo $(ARGS)
+
+test:
+	go test -count=1 $(PACKAGES)
+
+lint:
+	@test -z "$$(git ls-files '*.go' | xargs gofmt -l)" || { git ls-files '*.go' | xargs gofmt -l; exit 1; }
+	go vet $(PACKAGES)
+	go run $(STATICCHECK) -checks inherit,ST1000,ST1005,ST1020,ST1021,ST1022 $(PACKAGES)
--- /dev/null
+++ b/agent/target/options.go
@@ -0,0 +1,59 @@
+// Package target speaks to the target beside the agent, and serves the attempts
+// that entries send.
+package target
+
+import (
+	"net/netip"
+
+	"chervilswitch.example/shared/settings"
+
+	"github.com/integrii/flaggy"
+)
+
+// The exit codes.
+const (
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+// Options are the agent's checked settings.
+type Options struct {
+	settings.Common
+	// Target is the address of the target's HTTP interface.
+	Target netip.AddrPort `json:"target"`
+	// Service is the target's service in the inventory.
+	Service string `json:"service"`
+	// ReportsLoad says that the target answers GET /load.
+	ReportsLoad bool `json:"reportsLoad,omitempty"`
+}
+
+// ParseOptions reads the command line and the settings file that it names.
+func ParseOptions(arguments []string) (Options, error) {
+	var file string
+	parser := flaggy.NewParser("chervil-agent")
+	parser.Description = "Admits and forwards requests to the target on this instance."
+	parser.String(&file, "s", "settings", "JSON file with the settings")
+	if err := parser.ParseArgs(arguments); err != nil {
+		return Options{}, settings.ErrInvalid.Type().Wrap(err, "command line")
+	}
+	if file == "" {
+		return Options{}, settings.ErrInvalid.Type().New("--settings FILE is needed")
+	}
+	var options Options
+	if err := settings.Read(file, &options); err != nil {
+		return Options{}, err
+	}
+	return options, options.check(file)
+}
+
+func (o *Options) check(file string) error {
+	var faults settings.Faults
+	o.Common.Check(&faults)
+	if !o.Target.IsValid() {
+		faults.Add("target", "an address with a port is needed, such as 127.0.0.1:9000")
+	}
+	if o.Service == "" {
+		faults.Add("service", "a name is needed")
+	}
+	return faults.Err(file)
+}
--- /dev/null
+++ b/demo/site/site.go
@@ -0,0 +1,304 @@
+// Package site runs a whole small deployment in one process over loopback: the
+// real entries and agents, with stand-ins for targets and platform.
+package site
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"chervilswitch.example/agent/target"
+	"chervilswitch.example/entry/caller"
+	"chervilswitch.example/operate/desk"
+	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/platform"
+	"chervilswitch.example/shared/settings"
+	"chervilswitch.example/standin/engine"
+	"chervilswitch.example/standin/plain"
+	standin "chervilswitch.example/standin/platform"
+
+	"github.com/apex/log"
+)
+
+// The names of the deployment's parts.
+const (
+	Model        = "cadran-7b"
+	ModelService = "assistant"
+	PlainService = "order-desk"
+	Organisation = "medina"
+	Key          = "demo-key-medina"
+)
+
+// DataCentres are the deployment's data centres.
+var DataCentres = []string{"sfax-a", "sfax-b", "sfax-c"}
+
+// Options shape a deployment. The zero value gives the smallest one.
+type Options struct {
+	Entries  int
+	Replicas int
+	Plains   int
+	// Engine is the shape of every engine; its name is set for each.
+	Engine      engine.Options
+	ColdLimit   int
+	WarmLimit   int
+	PlainDelay  time.Duration
+	AddressKeep time.Duration
+	Logger      log.Interface
+}
+
+// Process is one daemon with what stops it.
+type Process struct {
+	Name string
+	// Stop begins a planned stop; Kill ends the process at once.
+	Stop context.CancelFunc
+	Kill func()
+	Done chan struct{}
+}
+
+// Site is a running deployment.
+type Site struct {
+	Log       *standin.Log
+	List      *standin.List
+	Ledger    *plain.Ledger
+	Engines   map[string]*engine.Engine
+	Plains    map[string]*plain.Service
+	Processes map[string]*Process
+	// Callers and Operators are the entries' addresses, Platform the platform's.
+	Callers   map[string]netip.AddrPort
+	Operators map[string]netip.AddrPort
+	Platform  netip.AddrPort
+	Inventory operator.Inventory
+
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	settled map[string]any
+	targets map[string]netip.AddrPort
+}
+
+// Start builds a deployment and publishes its inventory.
+func Start(ctx context.Context, options Options) (*Site, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Site{
+		Log: standin.NewLog(), List: new(standin.List), Ledger: new(plain.Ledger),
+		Engines: make(map[string]*engine.Engine), Plains: make(map[string]*plain.Service),
+		Processes: make(map[string]*Process), Callers: make(map[string]netip.AddrPort),
+		Operators: make(map[string]netip.AddrPort), targets: make(map[string]netip.AddrPort),
+		settled: make(map[string]any), options: options, ctx: ctx, cancel: cancel,
+	}
+	if err := s.start(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Close ends everything at once.
+func (s *Site) Close() {
+	s.cancel()
+	for _, p := range s.Processes {
+		p.Kill()
+	}
+	s.group.Wait()
+}
+
+func (s *Site) start() error {
+	mux := http.NewServeMux()
+	s.Log.Register(mux)
+	s.List.Register(mux)
+	address, err := s.serve(mux)
+	if err != nil {
+		return err
+	}
+	s.Platform = address
+	s.describe()
+	for i := range s.options.Replicas {
+		if err := s.startEngine(fmt.Sprintf("replica-%02d", i), DataCentres[i%len(DataCentres)]); err != nil {
+			return err
+		}
+	}
+	for i := range s.options.Plains {
+		if err := s.startPlain(fmt.Sprintf("desk-%02d", i), DataCentres[i%len(DataCentres)]); err != nil {
+			return err
+		}
+	}
+	for i := range s.options.Entries {
+		if err := s.startEntry(fmt.Sprintf("entry-%d", i), DataCentres[i%len(DataCentres)]); err != nil {
+			return err
+		}
+	}
+	return s.publish()
+}
+
+// describe begins the inventory.
+func (s *Site) describe() {
+	sum := sha256.Sum256([]byte(Key))
+	s.Inventory = operator.Inventory{
+		DataCentres: make(map[string]operator.DataCentre),
+		Instances:   make(map[string]operator.Instance),
+		Services: map[string]operator.Service{
+			ModelService: {Kind: operator.KindModel, Models: []string{Model}, ColdLimit: s.options.ColdLimit, WarmLimit: s.options.WarmLimit},
+			PlainService: {
+				Kind: operator.KindPlain, ColdLimit: 8, WarmLimit: 64,
+				NonIdempotent: []operator.RequestRule{{Method: http.MethodPost, PathPrefix: "/deposits"}},
+			},
+		},
+		Organisations: map[string]operator.Organisation{Organisation: {KeyHashes: []string{hex.EncodeToString(sum[:])}}},
+	}
+	for _, name := range DataCentres {
+		s.Inventory.DataCentres[name] = operator.DataCentre{Region: "sfax"}
+	}
+}
+
+func (s *Site) publish() error {
+	p := desk.NewPublisher(platform.NewClient(s.Platform, nil))
+	if err := p.Refresh(s.ctx); err != nil {
+		return err
+	}
+	_, err := p.Publish(s.ctx, "site", operator.Diff(p.Config().Inventory(), &s.Inventory))
+	return err
+}
+
+// serve runs an HTTP server on a free port.
+func (s *Site) serve(handler http.Handler) (netip.AddrPort, error) {
+	listener, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: settings.HeaderTimeout}
+	s.group.Go(func() { _ = server.Serve(listener) })
+	context.AfterFunc(s.ctx, func() { _ = server.Close() })
+	return addressOf(listener), nil
+}
+
+func listen() (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return listener, nil
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (s *Site) common(name, dataCentre string, peers netip.AddrPort) (settings.Common, error) {
+	operators, err := listen()
+	if err != nil {
+		return settings.Common{}, err
+	}
+	address := addressOf(operators)
+	_ = operators.Close() // The daemon listens there itself.
+	s.Operators[name] = address
+	return settings.Common{
+		Instance: name, DataCentre: dataCentre, Peer: peers, Operators: address,
+		Platform: s.Platform, LogRetention: settings.Duration(24 * time.Hour),
+	}, nil
+}
+
+func (s *Site) startEngine(name, dataCentre string) error {
+	shape := s.options.Engine
+	shape.Name = name
+	shape.ColdLimit = s.options.ColdLimit
+	e := engine.New(shape)
+	mux := http.NewServeMux()
+	e.Register(mux)
+	address, err := s.serve(mux)
+	if err != nil {
+		return err
+	}
+	s.Engines[name] = e
+	s.targets[name] = address
+	return s.startAgent(name, dataCentre, ModelService, true)
+}
+
+func (s *Site) startPlain(name, dataCentre string) error {
+	p := &plain.Service{Name: name, Ledger: s.Ledger, Delay: s.options.PlainDelay}
+	address, err := s.serve(p)
+	if err != nil {
+		return err
+	}
+	s.Plains[name] = p
+	s.targets[name] = address
+	return s.startAgent(name, dataCentre, PlainService, false)
+}
+
+func (s *Site) startAgent(name, dataCentre, service string, reports bool) error {
+	listener, err := listen()
+	if err != nil {
+		return err
+	}
+	common, err := s.common(name, dataCentre, addressOf(listener))
+	if err != nil {
+		return err
+	}
+	s.Inventory.Instances[name] = operator.Instance{
+		DataCentre: dataCentre, Role: operator.RoleAgent, Peer: common.Peer, Service: service,
+	}
+	s.runAgent(target.Options{Common: common, Target: s.targets[name], Service: service, ReportsLoad: reports}, listener)
+	return nil
+}
+
+func (s *Site) runAgent(options target.Options, listener net.Listener) {
+	s.settled[options.Instance] = options
+	agent := target.NewAgent(options, s.options.Logger)
+	s.run(options.Instance, func(ctx context.Context) error { return agent.Serve(ctx, listener) }, agent.Kill)
+}
+
+// run starts a daemon's goroutine.
+func (s *Site) run(name string, serve func(context.Context) error, kill func()) {
+	ctx, stop := context.WithCancel(s.ctx)
+	p := &Process{Name: name, Stop: stop, Kill: kill, Done: make(chan struct{})}
+	s.Processes[name] = p
+	s.group.Go(func() {
+		defer close(p.Done)
+		if err := serve(ctx); err != nil {
+			s.options.Logger.WithError(err).WithField("instance", name).Error("daemon ended")
+		}
+	})
+}
+
+func (s *Site) startEntry(name, dataCentre string) error {
+	callers, err := listen()
+	if err != nil {
+		return err
+	}
+	peers, err := listen()
+	if err != nil {
+		return err
+	}
+	common, err := s.common(name, dataCentre, addressOf(peers))
+	if err != nil {
+		return err
+	}
+	s.Callers[name] = addressOf(callers)
+	s.Inventory.Instances[name] = operator.Instance{
+		DataCentre: dataCentre, Role: operator.RoleEntry, Peer: common.Peer, Caller: addressOf(callers),
+	}
+	options := caller.Options{Common: common, Callers: addressOf(callers), AddressKeep: settings.Duration(s.options.AddressKeep)}
+	entry := caller.NewEntry(options, s.options.Logger)
+	s.run(name, func(ctx context.Context) error { return entry.Serve(ctx, callers, peers) }, entry.Kill)
+	return nil
+}
+
+// RestartAgent kills an agent and starts another in its slot.
+func (s *Site) RestartAgent(name string) error {
+	old := s.Processes[name]
+	old.Kill()
+	<-old.Done
+	options := s.settled[name].(target.Options)
+	listener, err := net.Listen("tcp", options.Peer.String())
+	if err != nil {
+		return fmt.Errorf("listen again: %w", err)
+	}
+	s.runAgent(options, listener)
+	return nil
+}
--- /dev/null
+++ b/operate/main.go
@@ -0,0 +1,18 @@
+// Command chervil is the operators' desk: it checks, publishes and follows
+// changes of the inventory.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chervilswitch.example/operate/desk"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(desk.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/shared/control/agent.go
@@ -0,0 +1,387 @@
+package control
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"chervilswitch.example/shared/operator"
+)
+
+const (
+	// attemptMemory is how long an agent remembers an attempt that is over.
+	attemptMemory = 10 * time.Minute
+	// coldJump is how many times its usual first-output time a target takes
+	// when it must be taken for cold.
+	coldJump = 4
+	// coldFloor is a first-output time that is never a sign of a cold target.
+	coldFloor = 200 * time.Millisecond
+	// outputWeight is the weight of one sample in the smoothed first-output time.
+	outputWeight = 0.2
+	// unwatchedGrace is how long an attempt goes on after its reader was lost, so
+	// that the caller can resume it through another entry.
+	unwatchedGrace = 10 * time.Second
+	// reportTimeout is when the absence of load reports closes the target.
+	reportTimeout = 3 * time.Second
+)
+
+// runState is where an attempt stands at the agent.
+type runState int
+
+const (
+	runIntended runState = iota
+	runRunning
+	runFinished
+	runRefused
+)
+
+// run is an attempt as the agent remembers it.
+type run struct {
+	submission Submission
+	state      runState
+	proven     bool
+	failed     bool
+	verdict    Verdict
+	// joins is the attempt of the same key whose answer this one shares.
+	joins AttemptID
+	since time.Time
+	// unwatched is when the last reader of the output left; zero while there is one.
+	unwatched time.Time
+}
+
+// agentState is the part of the state that only agents use.
+type agentState struct {
+	runs    map[AttemptID]*run
+	running int
+	// unproven counts running attempts whose target gave no output yet. It is
+	// held to the cold limit, so that a target that turns cold without warning
+	// gets no more than that before the agent can notice.
+	unproven int
+	limit    int
+	cold     bool
+	boot     string
+	// foreign is the work at the target that this incarnation did not send.
+	foreign    int
+	peak       int
+	reportedAt time.Time
+	reports    int
+	leaving    bool
+	// firstOutput is the smoothed time to the first output.
+	firstOutput time.Duration
+	warmed      bool
+	swept       time.Time
+	keys        keyState
+}
+
+func (a *agentState) reduce(st *State, e Event) {
+	switch e := e.(type) {
+	case Submitted:
+		a.onSubmitted(st, e.Submission)
+	case Attached:
+		a.onAttached(st, e)
+	case TargetProduced:
+		a.onProduced(st, e)
+	case TargetFinished:
+		a.onFinished(st, e)
+	case TargetReport:
+		a.onReport(st, e)
+	case Watched:
+		a.onWatched(st, e)
+	}
+}
+
+// service is the target's service in the configuration in force.
+func (a *agentState) service(st *State) operator.Service {
+	return st.config.Inventory().Services[st.self.Service]
+}
+
+// closed names the reason why no new work may be taken, if there is one.
+func (a *agentState) closed(st *State) (Code, bool) {
+	instance, known := st.config.Inventory().Instances[st.self.Instance]
+	switch {
+	case st.superseded:
+		return CodeSuperseded, true
+	case !st.Gate().Open():
+		return CodeOutOfTouch, true
+	case !known:
+		return CodeNoTarget, true
+	case st.draining || a.leaving || st.Leaving(st.self.Instance):
+		return CodeLeaving, true
+	case st.config.Inventory().DataCentres[instance.DataCentre].Out:
+		return CodeOut, true
+	case a.service(st).Kind == operator.KindModel && !a.reported(st):
+		return CodeUnknown, true
+	}
+	return "", false
+}
+
+// reported tells whether the target's own count of its work is known.
+func (a *agentState) reported(st *State) bool {
+	return a.reports > 0 && st.now.Sub(a.reportedAt) <= reportTimeout
+}
+
+// capacity is the number of attempts that may still start. A target is taken
+// for cold until its own service shows otherwise.
+func (a *agentState) capacity(st *State) int {
+	service := a.service(st)
+	limit := max(a.limit, service.ColdLimit)
+	if a.cold || !a.warmed {
+		limit = service.ColdLimit
+	}
+	limit = min(limit, service.WarmLimit)
+	return min(limit-a.running-a.foreign, service.ColdLimit-a.unproven)
+}
+
+func (a *agentState) onSubmitted(st *State, s Submission) {
+	if a.runs == nil {
+		a.runs = make(map[AttemptID]*run)
+	}
+	if old, ok := a.runs[s.Attempt]; ok {
+		a.onAgain(st, s.Attempt, old)
+		return
+	}
+	r := &run{submission: s, since: st.now}
+	a.runs[s.Attempt] = r
+	if code, ok := a.admissible(st, s); !ok {
+		a.refuse(st, r, Verdict{Outcome: OutcomeNotRun, Code: code})
+		return
+	}
+	if !a.idempotent(st, s) && s.Key != "" {
+		a.keys.onSubmitted(st, a, r)
+		return
+	}
+	a.start(st, r)
+}
+
+// idempotent never trusts the entry alone: either view may forbid a second run.
+func (a *agentState) idempotent(st *State, s Submission) bool {
+	service := a.service(st)
+	return s.Idempotent && (service.Kind == operator.KindModel || service.Repeatable(s.Method, s.Path))
+}
+
+func (a *agentState) admissible(st *State, s Submission) (Code, bool) {
+	if s.Incarnation != st.self.Incarnation {
+		return CodeIncarnation, false
+	}
+	if code, closed := a.closed(st); closed {
+		return code, false
+	}
+	if a.capacity(st)-a.keys.reserved <= 0 {
+		return CodeBusy, false
+	}
+	return "", true
+}
+
+// start admits an attempt. Every gate was checked in the same event.
+func (a *agentState) start(st *State, r *run) {
+	r.state = runRunning
+	a.running++
+	a.unproven++
+	a.peak = max(a.peak, a.running)
+	st.emit(Decided{Code: DecisionAdmit, Request: RequestID(r.submission.Attempt), Chosen: "run",
+		Reason: "running " + strconv.Itoa(a.running) + " limit " + strconv.Itoa(a.limit)})
+	st.emit(Run{Attempt: r.submission.Attempt})
+}
+
+func (a *agentState) refuse(st *State, r *run, v Verdict) {
+	r.state, r.verdict = runRefused, v
+	st.emit(Decided{Code: DecisionTurn, Request: RequestID(r.submission.Attempt), Chosen: string(v.Outcome), Reason: string(v.Code)})
+	st.emit(Refuse{Attempt: r.submission.Attempt, Verdict: v})
+}
+
+// onAgain answers a second copy of a submission without running it.
+func (a *agentState) onAgain(st *State, id AttemptID, r *run) {
+	if r.joins != "" {
+		st.emit(Join{Attempt: id, Runs: r.joins})
+		return
+	}
+	switch r.state {
+	case runRefused:
+		st.emit(Refuse{Attempt: id, Verdict: r.verdict})
+	case runIntended, runRunning, runFinished:
+		st.emit(Join{Attempt: id, Runs: id})
+	}
+}
+
+// onAttached answers a question about an attempt. One that was never seen is
+// refused for good, so that its late submission cannot run either.
+func (a *agentState) onAttached(st *State, e Attached) {
+	if a.runs == nil {
+		a.runs = make(map[AttemptID]*run)
+	}
+	if e.Incarnation != st.self.Incarnation {
+		st.emit(Refuse{Attempt: e.Attempt, Verdict: Verdict{Outcome: OutcomeUnknown, Code: CodeIncarnation}})
+		return
+	}
+	r, ok := a.runs[e.Attempt]
+	if !ok {
+		r = &run{submission: Submission{Attempt: e.Attempt}, since: st.now}
+		a.runs[e.Attempt] = r
+		a.refuse(st, r, Verdict{Outcome: OutcomeNotRun, Code: CodeNeverSeen})
+		return
+	}
+	a.onAgain(st, e.Attempt, r)
+}
+
+func (a *agentState) onProduced(st *State, e TargetProduced) {
+	r, ok := a.runs[e.Attempt]
+	if !ok || r.state != runRunning || r.proven {
+		return
+	}
+	r.proven = true
+	a.unproven--
+	if e.Boot != "" && e.Boot != a.boot {
+		a.turnCold(st, e.Boot, "restarted")
+		return
+	}
+	a.measure(st, e.Latency)
+}
+
+// measure raises the limit by one for each answer that started in good time,
+// which doubles it each time the target has served a full set, and drops it at
+// once when the target has become much slower.
+func (a *agentState) measure(st *State, latency time.Duration) {
+	if a.firstOutput == 0 {
+		a.firstOutput = latency
+	}
+	if latency > coldFloor && latency > coldJump*a.firstOutput {
+		a.turnCold(st, a.boot, "slow")
+		return
+	}
+	a.firstOutput += time.Duration(outputWeight * float64(latency-a.firstOutput))
+	if a.cold {
+		return
+	}
+	service := a.service(st)
+	a.warmed = true
+	a.limit = min(max(a.limit, service.ColdLimit)+1, service.WarmLimit)
+}
+
+func (a *agentState) turnCold(st *State, boot, reason string) {
+	a.boot = boot
+	a.limit = a.service(st).ColdLimit
+	a.warmed = false
+	st.emit(Decided{Code: DecisionLimit, Chosen: strconv.Itoa(a.limit), Reason: reason})
+}
+
+func (a *agentState) onFinished(st *State, e TargetFinished) {
+	r, ok := a.runs[e.Attempt]
+	if !ok || r.state != runRunning {
+		return
+	}
+	r.state, r.failed, r.since = runFinished, e.Failed, st.now
+	a.running--
+	if !r.proven {
+		a.unproven--
+	}
+	if e.Failed && !r.proven {
+		a.turnCold(st, a.boot, "failed")
+	}
+}
+
+func (a *agentState) onWatched(st *State, e Watched) {
+	r, ok := a.runs[e.Attempt]
+	if !ok {
+		return
+	}
+	r.unwatched = time.Time{}
+	if e.Watchers == 0 {
+		r.unwatched = st.now
+	}
+}
+
+// stopUnwatched ends idempotent work that nobody came back for.
+func (a *agentState) stopUnwatched(st *State) {
+	for _, id := range st.Runs() {
+		r := a.runs[id]
+		if r.state != runRunning || r.unwatched.IsZero() || !a.idempotent(st, r.submission) {
+			continue
+		}
+		if st.now.Sub(r.unwatched) > unwatchedGrace {
+			r.unwatched = time.Time{}
+			st.emit(Stop{Attempt: id})
+		}
+	}
+}
+
+// onReport takes a load report. Work beyond the most that this incarnation had
+// running since the last report was sent by an earlier one.
+func (a *agentState) onReport(st *State, e TargetReport) {
+	if e.Boot != a.boot {
+		a.turnCold(st, e.Boot, "restarted")
+	}
+	if e.Cold && !a.cold {
+		a.turnCold(st, e.Boot, "reportedCold")
+	}
+	a.cold = e.Cold
+	a.leaving = a.leaving || e.Leaving
+	a.foreign = max(0, e.Running-a.peak)
+	a.peak = a.running
+	a.reports++
+	a.reportedAt = st.now
+}
+
+// load is what rides on answers to entries.
+func (a *agentState) load(st *State) Load {
+	if st.self.Role != operator.RoleAgent {
+		return Load{Closed: st.draining}
+	}
+	_, closed := a.closed(st)
+	capacity := max(0, a.capacity(st)-a.keys.reserved)
+	if closed {
+		capacity = 0
+	}
+	entries := max(1, st.contactsOf(operator.RoleEntry))
+	service := a.service(st)
+	return Load{
+		Running:     a.running + a.foreign,
+		Limit:       min(max(a.limit, service.ColdLimit), max(1, service.WarmLimit)),
+		Credit:      (capacity + entries - 1) / entries,
+		FirstOutput: a.firstOutput,
+		Cold:        a.cold || !a.warmed,
+		Closed:      closed,
+	}
+}
+
+func (s *State) contactsOf(role operator.Role) int {
+	count := 0
+	for _, c := range s.contacts {
+		if c.beat.Role == role && s.now.Sub(c.askedAt) <= contactWindow {
+			count++
+		}
+	}
+	return count
+}
+
+// Load is the agent's state as it rides on answers.
+func (s *State) Load() Load { return s.agent.load(s) }
+
+// Running is the number of attempts in the target's or the log's hands.
+func (s *State) Running() int { return s.agent.running + s.agent.keys.reserved }
+
+func (a *agentState) onTick(st *State) {
+	a.keys.onTick(st, a)
+	a.stopUnwatched(st)
+	if st.now.Sub(a.swept) < attemptMemory/10 {
+		return
+	}
+	a.swept = st.now
+	for id, r := range a.runs {
+		over := r.state == runFinished || r.state == runRefused
+		if over && st.now.Sub(r.since) > attemptMemory && !a.keys.holds(r) {
+			delete(a.runs, id)
+		}
+	}
+}
+
+// Runs lists the attempts in a state of work, for the driver's stop.
+func (s *State) Runs() []AttemptID {
+	var ids []AttemptID
+	for id, r := range s.agent.runs {
+		if r.state == runRunning || r.state == runIntended {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/shared/control/config.go
@@ -0,0 +1,395 @@
+package control
+
+import (
+	"encoding/json"
+	"slices"
+
+	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/platform"
+)
+
+const (
+	// maxBaseDistance is how many records a change's base may lie behind it.
+	maxBaseDistance = 4096
+	// maxSnapshotObjects is the number of objects in one part of a snapshot.
+	maxSnapshotObjects = 500
+	// maxTail is the number of records kept for peers that are behind.
+	maxTail = 4096
+	// maxHeld is the number of records held while earlier ones are missing.
+	maxHeld = 2 * maxBaseDistance
+)
+
+// ChangeOutcome says what became of a change.
+type ChangeOutcome string
+
+// The outcomes of a change.
+const (
+	ChangeAccepted ChangeOutcome = "accepted"
+	ChangeConflict ChangeOutcome = "conflict"
+	ChangeInvalid  ChangeOutcome = "invalid"
+)
+
+// Config is the configuration as the log orders it. Every process that has
+// applied the same offset holds the same state. The zero value has applied
+// nothing.
+//
+// Worked example: at offset 7 two operators publish from base 7. Record 8 edits
+// dataCentres/tunis-1 and is accepted; record 9 edits the same key, whose
+// version 8 is newer than its base 7, and is a conflict on every reader.
+type Config struct {
+	inventory operator.Inventory
+	versions  map[operator.Key]platform.Offset
+	claims    map[string]VersionedClaim
+	seen      map[string]SeenChange
+	seenOrder []string
+	// applied is the last offset in the state; latest is the last accepted change.
+	applied platform.Offset
+	latest  platform.Offset
+	// base is set once a snapshot or the start of the stream was found.
+	base bool
+	// halted is set by a record whose format this binary does not know.
+	halted bool
+
+	tail  []platform.Record
+	held  map[platform.Offset]platform.Record
+	parts map[string]map[int]*SnapshotPart
+}
+
+// Applied is the offset of the last record in the state.
+func (c *Config) Applied() platform.Offset { return c.applied }
+
+// Latest is the offset of the last accepted change.
+func (c *Config) Latest() platform.Offset { return c.latest }
+
+// Ready reports whether the state is complete up to Applied.
+func (c *Config) Ready() bool { return c.base }
+
+// Halted reports whether a record of an unknown format stopped the reader.
+func (c *Config) Halted() bool { return c.halted }
+
+// Inventory is the configuration in force. Callers must not change it.
+func (c *Config) Inventory() *operator.Inventory { return &c.inventory }
+
+// StartsEmpty tells the state that the stream's first record is retained, so
+// that nothing before it can be missing.
+func (c *Config) StartsEmpty() { c.base = true }
+
+// Seen tells the outcome of a recent change by its record's id.
+func (c *Config) Seen(id string) (SeenChange, bool) {
+	seen, ok := c.seen[id]
+	return seen, ok
+}
+
+// Fencing is the newest claim for an instance.
+func (c *Config) Fencing(instance string) (VersionedClaim, bool) {
+	claim, ok := c.claims[instance]
+	return claim, ok
+}
+
+// Apply takes one record, in any order and any number of times. It returns
+// what the changes it could apply led to.
+func (c *Config) Apply(r platform.Record) []SeenChange {
+	if r.Offset <= c.applied && c.base {
+		return nil
+	}
+	if part := c.snapshotPart(r); part != nil && c.joinPart(r, part) {
+		return c.drain()
+	}
+	c.hold(r)
+	return c.drain()
+}
+
+// hold keeps a record until those before it are applied.
+func (c *Config) hold(r platform.Record) {
+	if c.held == nil {
+		c.held = make(map[platform.Offset]platform.Record)
+	}
+	if len(c.held) >= maxHeld {
+		c.dropOldestHeld()
+	}
+	c.held[r.Offset] = r
+}
+
+func (c *Config) dropOldestHeld() {
+	oldest := platform.Offset(0)
+	for offset := range c.held {
+		if oldest == 0 || offset < oldest {
+			oldest = offset
+		}
+	}
+	delete(c.held, oldest)
+}
+
+func (c *Config) drain() []SeenChange {
+	var outcomes []SeenChange
+	for c.base && !c.halted {
+		r, ok := c.held[c.applied+1]
+		if !ok {
+			break
+		}
+		delete(c.held, r.Offset)
+		if seen, ok := c.applyNext(r); ok {
+			outcomes = append(outcomes, seen)
+		}
+	}
+	return outcomes
+}
+
+// Missing is the first offset that must be fetched before a held record can be
+// applied, if any record is held.
+func (c *Config) Missing() (platform.Offset, bool) {
+	return c.applied + 1, len(c.held) > 0 && !c.halted
+}
+
+func (c *Config) applyNext(r platform.Record) (SeenChange, bool) {
+	record, err := DecodeRecord(r.Data)
+	if err == nil && record.Format != RecordFormat {
+		// A later binary may give it a meaning, so nothing after it is safe here.
+		c.halted = true
+		return SeenChange{}, false
+	}
+	c.applied = r.Offset
+	c.tail = append(c.tail, r)
+	if len(c.tail) > 2*maxTail {
+		c.tail = slices.Clone(c.tail[len(c.tail)-maxTail:])
+	}
+	if err != nil {
+		return SeenChange{}, false // Undecodable for every reader alike.
+	}
+	switch record.Kind {
+	case RecordChange:
+		return c.applyChange(r.Offset, record), true
+	case RecordClaim:
+		c.applyClaim(r.Offset, *record.Claim)
+	}
+	return SeenChange{}, false
+}
+
+func (c *Config) applyChange(offset platform.Offset, record Record) SeenChange {
+	if seen, ok := c.seen[record.ID]; ok {
+		return seen // The second copy of an append whose answer was lost.
+	}
+	seen := SeenChange{ID: record.ID, Offset: offset, Outcome: ChangeAccepted}
+	if conflict, ok := c.conflict(offset, record); ok {
+		seen.Outcome, seen.Detail = ChangeConflict, conflict
+	} else if err := c.inventory.Apply(record.Edits); err != nil {
+		seen.Outcome, seen.Detail = ChangeInvalid, err.Error()
+	} else {
+		c.setVersions(offset, record.Edits)
+		c.latest = offset
+	}
+	c.remember(seen)
+	return seen
+}
+
+func (c *Config) conflict(offset platform.Offset, record Record) (string, bool) {
+	if record.Base >= offset || offset-record.Base > maxBaseDistance {
+		return "base is too far from the change", true
+	}
+	for _, e := range record.Edits {
+		if c.versions[e.Key] > record.Base {
+			return e.Key.String(), true
+		}
+	}
+	return "", false
+}
+
+func (c *Config) setVersions(offset platform.Offset, edits []operator.Edit) {
+	if c.versions == nil {
+		c.versions = make(map[operator.Key]platform.Offset)
+	}
+	for _, e := range edits {
+		c.versions[e.Key] = offset
+	}
+}
+
+// remember keeps an outcome for as long as a second copy could be valid.
+func (c *Config) remember(seen SeenChange) {
+	if c.seen == nil {
+		c.seen = make(map[string]SeenChange)
+	}
+	c.seen[seen.ID] = seen
+	c.seenOrder = append(c.seenOrder, seen.ID)
+	for len(c.seenOrder) > 0 && seen.Offset-c.seen[c.seenOrder[0]].Offset > maxBaseDistance {
+		delete(c.seen, c.seenOrder[0])
+		c.seenOrder = c.seenOrder[1:]
+	}
+}
+
+func (c *Config) applyClaim(offset platform.Offset, claim Claim) {
+	if c.claims == nil {
+		c.claims = make(map[string]VersionedClaim)
+	}
+	if newest, ok := c.claims[claim.Instance]; ok && claim.Incarnation <= newest.Incarnation {
+		return // A second copy, or the late claim of a process that was replaced.
+	}
+	c.claims[claim.Instance] = VersionedClaim{Claim: claim, Fencing: offset}
+}
+
+// Tail returns the kept records from an offset on, and whether it has them all.
+func (c *Config) Tail(from platform.Offset) ([]platform.Record, bool) {
+	if from > c.applied {
+		return nil, true
+	}
+	if len(c.tail) == 0 || c.tail[0].Offset > from {
+		return nil, false
+	}
+	i, _ := slices.BinarySearchFunc(c.tail, from, func(r platform.Record, offset platform.Offset) int {
+		if r.Offset < offset {
+			return -1
+		}
+		if r.Offset > offset {
+			return 1
+		}
+		return 0
+	})
+	return slices.Clone(c.tail[i:]), true
+}
+
+func (c *Config) snapshotPart(r platform.Record) *SnapshotPart {
+	record, err := DecodeRecord(r.Data)
+	if err != nil || record.Format != RecordFormat || record.Kind != RecordSnapshot {
+		return nil
+	}
+	return record.Snapshot
+}
+
+// joinPart gathers a part and installs the snapshot once it is whole and newer
+// than the state. A snapshot that is not newer is an ordinary, empty record.
+func (c *Config) joinPart(r platform.Record, part *SnapshotPart) bool {
+	c.hold(r)
+	if part.At >= r.Offset || c.base && part.At <= c.applied {
+		return true
+	}
+	record, err := DecodeRecord(r.Data)
+	if err != nil {
+		return true
+	}
+	return c.addPart(record.ID, part)
+}
+
+func (c *Config) addPart(id string, part *SnapshotPart) bool {
+	if c.parts == nil {
+		c.parts = make(map[string]map[int]*SnapshotPart)
+	}
+	if c.parts[id] == nil {
+		c.parts[id] = make(map[int]*SnapshotPart)
+	}
+	c.parts[id][part.Part] = part
+	if len(c.parts[id]) == part.Parts {
+		c.install(c.parts[id], part.Parts)
+		clear(c.parts)
+	}
+	return true
+}
+
+func (c *Config) install(parts map[int]*SnapshotPart, count int) {
+	next := Config{base: true, held: c.held}
+	for i := range count {
+		next.installPart(parts[i])
+	}
+	if c.base && next.applied <= c.applied {
+		return
+	}
+	for offset := range next.held {
+		if offset <= next.applied {
+			delete(next.held, offset)
+		}
+	}
+	*c = next
+}
+
+func (c *Config) installPart(part *SnapshotPart) {
+	c.applied = part.At
+	if c.versions == nil {
+		c.versions = make(map[operator.Key]platform.Offset)
+	}
+	for _, e := range part.Objects {
+		// The objects were checked when they were accepted.
+		_ = c.inventory.Install(e.Edit)
+		c.versions[e.Key] = e.Version
+		c.latest = max(c.latest, e.Version)
+	}
+	for _, k := range part.Removed {
+		c.versions[k.Key] = k.Version
+		c.latest = max(c.latest, k.Version)
+	}
+	for _, seen := range part.Seen {
+		c.remember(seen)
+	}
+	for _, claim := range part.Claims {
+		if c.claims == nil {
+			c.claims = make(map[string]VersionedClaim)
+		}
+		c.claims[claim.Instance] = claim
+	}
+}
+
+// Snapshot gives the state as records that share an id.
+func (c *Config) Snapshot(id string) []Record {
+	whole := c.wholeSnapshot()
+	count := max(1, (len(whole.Objects)+maxSnapshotObjects-1)/maxSnapshotObjects)
+	records := make([]Record, 0, count)
+	for i := range count {
+		part := &SnapshotPart{At: c.applied, Part: i, Parts: count}
+		first := min(i*maxSnapshotObjects, len(whole.Objects))
+		last := min(first+maxSnapshotObjects, len(whole.Objects))
+		part.Objects = whole.Objects[first:last]
+		if i == 0 {
+			part.Removed, part.Seen, part.Claims = whole.Removed, whole.Seen, whole.Claims
+		}
+		records = append(records, Record{Format: RecordFormat, ID: id, Kind: RecordSnapshot, Snapshot: part})
+	}
+	return records
+}
+
+func (c *Config) wholeSnapshot() SnapshotPart {
+	whole := SnapshotPart{At: c.applied}
+	present := make(map[operator.Key]bool)
+	for _, e := range c.inventory.Edits() {
+		present[e.Key] = true
+		whole.Objects = append(whole.Objects, VersionedEdit{Edit: e, Version: c.versions[e.Key]})
+	}
+	for k, version := range c.versions {
+		// A removal older than any base that is still valid cannot conflict.
+		if !present[k] && c.applied-version <= maxBaseDistance {
+			whole.Removed = append(whole.Removed, VersionedKey{Key: k, Version: version})
+		}
+	}
+	slices.SortFunc(whole.Removed, func(a, b VersionedKey) int { return a.Key.Compare(b.Key) })
+	for _, id := range c.seenOrder {
+		whole.Seen = append(whole.Seen, c.seen[id])
+	}
+	for _, name := range sortedKeys(c.claims) {
+		whole.Claims = append(whole.Claims, c.claims[name])
+	}
+	return whole
+}
+
+// InstallSnapshot takes a peer's state if it is newer than this one.
+func (c *Config) InstallSnapshot(records []Record) {
+	for _, r := range records {
+		if r.Snapshot != nil && (!c.base || r.Snapshot.At > c.applied) {
+			c.addPart(r.ID, r.Snapshot)
+		}
+	}
+	c.drain()
+}
+
+// Digest is a stable encoding of the state, for comparing processes.
+func (c *Config) Digest() string {
+	raw, err := json.Marshal(c.wholeSnapshot())
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+func sortedKeys[T any](m map[string]T) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/shared/events/events.go
@@ -0,0 +1,73 @@
+// Package events writes the numbered log lines that operators read.
+package events
+
+import "github.com/apex/log"
+
+// Event numbers one kind of log line; docs/EVENTS.md describes each.
+type Event int
+
+// The events. Those of 2000 and more are decisions of the reducer.
+const (
+	Started         Event = 1001
+	Stopping        Event = 1002
+	Stopped         Event = 1003
+	ChangeRead      Event = 1101
+	LogUnreadable   Event = 1102
+	AppendUncertain Event = 1103
+	AppendDropped   Event = 1104
+	PeerLost        Event = 1201
+	TargetFailed    Event = 1301
+	RequestFailed   Event = 1302
+	TargetChosen    Event = 2001
+	RequestRetried  Event = 2002
+	KeyFollowed     Event = 2003
+	RequestRefused  Event = 2004
+	AttemptAdmitted Event = 2101
+	AttemptRefused  Event = 2102
+	LimitChanged    Event = 2103
+	KeyJoined       Event = 2104
+	MapAdopted      Event = 2201
+)
+
+// names gives each event's stable name.
+var names = map[Event]string{
+	Started:         "started",
+	Stopping:        "stopping",
+	Stopped:         "stopped",
+	ChangeRead:      "changeRead",
+	LogUnreadable:   "logUnreadable",
+	AppendUncertain: "appendUncertain",
+	AppendDropped:   "appendDropped",
+	PeerLost:        "peerLost",
+	TargetFailed:    "targetFailed",
+	RequestFailed:   "requestFailed",
+	TargetChosen:    "targetChosen",
+	RequestRetried:  "requestRetried",
+	KeyFollowed:     "keyFollowed",
+	RequestRefused:  "requestRefused",
+	AttemptAdmitted: "attemptAdmitted",
+	AttemptRefused:  "attemptRefused",
+	LimitChanged:    "limitChanged",
+	KeyJoined:       "keyJoined",
+	MapAdopted:      "mapAdopted",
+}
+
+// All lists every event with its name.
+func All() map[Event]string {
+	all := make(map[Event]string, len(names))
+	for e, name := range names {
+		all[e] = name
+	}
+	return all
+}
+
+// Log writes one line. Decisions are informational, troubles are warnings.
+func Log(logger log.Interface, e Event, fields log.Fields) {
+	line := logger.WithFields(fields).WithField("event", int(e))
+	switch e {
+	case LogUnreadable, AppendUncertain, AppendDropped, PeerLost, TargetFailed, RequestFailed:
+		line.Warn(names[e])
+	default:
+		line.Info(names[e])
+	}
+}
--- /dev/null
+++ b/shared/peer/convert.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"chervilswitch.example/shared/control"
+	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/platform"
+)
+
+// NewBeat encodes a process's state.
+func NewBeat(b control.Beat) *Beat {
+	return &Beat{
+		Instance:       b.Instance,
+		DataCentre:     b.DataCentre,
+		Role:           string(b.Role),
+		Incarnation:    b.Incarnation,
+		Service:        b.Service,
+		Applied:        uint64(b.Applied),
+		EvidenceAge:    int64(b.EvidenceAge),
+		EvidenceOffset: uint64(b.EvidenceOffset),
+		Load:           NewLoad(b.Load),
+	}
+}
+
+// Control decodes a process's state.
+func (x *Beat) Control() control.Beat {
+	return control.Beat{
+		Instance:       x.GetInstance(),
+		DataCentre:     x.GetDataCentre(),
+		Role:           operator.Role(x.GetRole()),
+		Incarnation:    x.GetIncarnation(),
+		Service:        x.GetService(),
+		Applied:        platform.Offset(x.GetApplied()),
+		EvidenceAge:    time.Duration(x.GetEvidenceAge()),
+		EvidenceOffset: platform.Offset(x.GetEvidenceOffset()),
+		Load:           x.GetLoad().Control(),
+	}
+}
+
+// NewLoad encodes an agent's load.
+func NewLoad(l control.Load) *Load {
+	return &Load{
+		Running:     int64(l.Running),
+		Limit:       int64(l.Limit),
+		Credit:      int64(l.Credit),
+		FirstOutput: int64(l.FirstOutput),
+		Cold:        l.Cold,
+		Closed:      l.Closed,
+	}
+}
+
+// Control decodes an agent's load; nil is the zero load.
+func (x *Load) Control() control.Load {
+	return control.Load{
+		Running:     int(x.GetRunning()),
+		Limit:       int(x.GetLimit()),
+		Credit:      int(x.GetCredit()),
+		FirstOutput: time.Duration(x.GetFirstOutput()),
+		Cold:        x.GetCold(),
+		Closed:      x.GetClosed(),
+	}
+}
+
+// NewVerdict encodes an agent's verdict.
+func NewVerdict(v control.Verdict, l control.Load) *Answer {
+	return &Answer{Kind: &Answer_Verdict{Verdict: &Verdict{
+		Outcome: string(v.Outcome), Code: string(v.Code), Owner: v.Owner, Load: NewLoad(l),
+	}}}
+}
+
+// Control decodes an agent's verdict.
+func (x *Verdict) Control() control.Verdict {
+	return control.Verdict{
+		Outcome: control.Outcome(x.GetOutcome()),
+		Code:    control.Code(x.GetCode()),
+		Owner:   x.GetOwner(),
+	}
+}
+
+// NewRecords encodes records, or a snapshot, for a peer that is behind.
+func NewRecords(records []platform.Record, snapshot []control.Record) (*Records, error) {
+	answer := new(Records)
+	for _, r := range records {
+		answer.Records = append(answer.Records, &LogRecord{Offset: uint64(r.Offset), Data: r.Data})
+	}
+	for _, r := range snapshot {
+		r.Format = control.RecordFormat
+		raw, err := r.Encode()
+		if err != nil {
+			return nil, err
+		}
+		answer.Snapshot = append(answer.Snapshot, raw)
+	}
+	return answer, nil
+}
+
+// Control decodes records and snapshot. Errors match control.ErrRecord.
+func (x *Records) Control() (control.PeerRecords, error) {
+	var event control.PeerRecords
+	for _, r := range x.GetRecords() {
+		event.Records = append(event.Records, platform.Record{
+			Offset: platform.Offset(r.GetOffset()), Data: json.RawMessage(r.GetData()),
+		})
+	}
+	for _, raw := range x.GetSnapshot() {
+		r, err := control.DecodeRecord(raw)
+		if err != nil {
+			return control.PeerRecords{}, err
+		}
+		event.Snapshot = append(event.Snapshot, r)
+	}
+	return event, nil
+}
+
+// newProposal encodes a proposal for a group's map.
+func newProposal(p control.Proposal) *Proposal {
+	return &Proposal{
+		Fencing: uint64(p.Fencing), Number: p.Number, Map: uint64(p.Map),
+		Generation: p.At.Generation, Step: p.At.Step, Incarnations: p.Incarnations,
+	}
+}
+
+func (x *Proposal) control() control.Proposal {
+	return control.Proposal{
+		Fencing: platform.Offset(x.GetFencing()), Number: x.GetNumber(), Map: control.MapVersion(x.GetMap()),
+		At:           control.Position{Generation: x.GetGeneration(), Step: x.GetStep()},
+		Incarnations: x.GetIncarnations(),
+	}
+}
+
+// NewRankMessage encodes what one rank sends to another, if it is a message.
+func NewRankMessage(group string, from int, o control.RankOutput) (*RankMessage, bool) {
+	m := &RankMessage{Group: group, From: int32(from)}
+	switch o := o.(type) {
+	case control.RankTell:
+		m.To = int32(o.To)
+		m.Kind = &RankMessage_Vote{Vote: &RankVote{
+			Fencing: uint64(o.Vote.Proposal.Fencing), Number: o.Vote.Proposal.Number,
+			Incarnation: o.Vote.Incarnation, Vote: int32(o.Vote.Vote),
+		}}
+	case control.RankAsk:
+		m.To = int32(o.To)
+		m.Kind = &RankMessage_Asked{Asked: newProposal(o.Proposal)}
+	default:
+		return nil, false
+	}
+	return m, true
+}
+
+// NewProposed encodes a coordinator's proposal to one rank.
+func NewProposed(group string, to int, p control.Proposal) *RankMessage {
+	return &RankMessage{Group: group, To: int32(to), Kind: &RankMessage_Proposed{Proposed: newProposal(p)}}
+}
+
+// Control decodes a message between ranks; an unknown kind gives false.
+func (x *RankMessage) Control() (control.RankEvent, bool) {
+	event := control.RankEvent{Rank: int(x.GetTo())}
+	switch kind := x.GetKind().(type) {
+	case *RankMessage_Proposed:
+		event.Step = control.RankProposed{Proposal: kind.Proposed.control()}
+	case *RankMessage_Asked:
+		event.Step = control.RankAsked{Proposal: kind.Asked.control(), From: int(x.GetFrom())}
+	case *RankMessage_Vote:
+		event.Step = control.RankVoted{
+			Proposal:    control.ProposalID{Fencing: platform.Offset(kind.Vote.GetFencing()), Number: kind.Vote.GetNumber()},
+			From:        int(x.GetFrom()),
+			Incarnation: kind.Vote.GetIncarnation(),
+			Vote:        control.Vote(kind.Vote.GetVote()),
+		}
+	default:
+		return control.RankEvent{}, false
+	}
+	return event, true
+}
+
+func offset(v uint64) platform.Offset { return platform.Offset(v) }
--- /dev/null
+++ b/shared/peer/headers.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// hopByHop are the header fields that concern one connection only (RFC 9110,
+// section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// NewHeaders encodes the end-to-end fields of a header, in a stable order.
+func NewHeaders(header http.Header) []*Header {
+	var fields []*Header
+	names := make([]string, 0, len(header))
+	for name := range header {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	nominated := connectionOptions(header)
+	for _, name := range names {
+		if slices.Contains(hopByHop, name) || slices.Contains(nominated, name) {
+			continue
+		}
+		for _, value := range header[name] {
+			fields = append(fields, &Header{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+// connectionOptions lists the fields that Connection names as hop-by-hop.
+func connectionOptions(header http.Header) []string {
+	var names []string
+	for _, value := range header["Connection"] {
+		for option := range strings.SplitSeq(value, ",") {
+			names = append(names, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(option)))
+		}
+	}
+	return names
+}
+
+// AddHeaders adds encoded fields to a header.
+func AddHeaders(header http.Header, fields []*Header) {
+	for _, f := range fields {
+		header.Add(f.GetName(), f.GetValue())
+	}
+}
+
+// ContentLength is the length that the fields give, or -1 if they give none.
+func ContentLength(fields []*Header) int64 {
+	for _, f := range fields {
+		if f.GetName() != "Content-Length" {
+			continue
+		}
+		if length, err := strconv.ParseInt(f.GetValue(), 10, 64); err == nil && length >= 0 {
+			return length
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/shared/peer/link.go
@@ -0,0 +1,186 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// maxMessageBytes bounds one message between processes.
+	maxMessageBytes = 16 << 20
+	dialTimeout     = time.Second
+	keepAliveEvery  = time.Second
+	// writeTimeout is when a link that takes no more bytes is given up.
+	writeTimeout = 2 * time.Second
+	streamWindow = 1 << 20
+)
+
+var (
+	errorsNamespace = errorx.NewNamespace("peer")
+
+	// ErrLink is matched when a link or stream to another process broke.
+	ErrLink = errorsNamespace.NewType("link").NewWithNoMessage()
+)
+
+// Stream is one exchange of messages over a link.
+type Stream struct {
+	stream net.Conn
+	reader *bufio.Reader
+}
+
+// NewStream speaks messages over a connection.
+func NewStream(conn net.Conn) *Stream {
+	return &Stream{stream: conn, reader: bufio.NewReader(conn)}
+}
+
+// Send writes one message. Errors match ErrLink.
+func (s *Stream) Send(m proto.Message) error {
+	if err := s.stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return ErrLink.Type().Wrap(err, "set a deadline")
+	}
+	if _, err := protodelim.MarshalTo(s.stream, m); err != nil {
+		return ErrLink.Type().Wrap(err, "send")
+	}
+	return nil
+}
+
+// Receive reads one message. Errors match ErrLink; a clean end is also io.EOF.
+func (s *Stream) Receive(m proto.Message) error {
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+	if err := options.UnmarshalFrom(s.reader, m); err != nil {
+		return ErrLink.Type().Wrap(err, "receive")
+	}
+	return nil
+}
+
+// ReceiveBefore reads one message, with a limit on the time it takes.
+func (s *Stream) ReceiveBefore(m proto.Message, timeout time.Duration) error {
+	if err := s.stream.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return ErrLink.Type().Wrap(err, "set a deadline")
+	}
+	defer func() { _ = s.stream.SetReadDeadline(time.Time{}) }()
+	return s.Receive(m)
+}
+
+// Close ends the stream.
+func (s *Stream) Close() error { return s.stream.Close() }
+
+// CloseWith ends the stream when the context ends. Stop ends the watch.
+func (s *Stream) CloseWith(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = s.stream.Close() })
+}
+
+// Link is a connection to another process that carries many streams. Its
+// heartbeats close it when the other end has gone silent.
+type Link struct{ session *yamux.Session }
+
+// Dial connects to a process. A nil TLS configuration means plain TCP. Errors
+// match ErrLink.
+func Dial(ctx context.Context, address netip.AddrPort, config *tls.Config) (*Link, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := dialConn(ctx, address, config)
+	if err != nil {
+		return nil, ErrLink.Type().Wrap(err, "dial %s", address)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		return nil, ErrLink.Type().Wrap(err, "open a session")
+	}
+	return &Link{session: session}, nil
+}
+
+func dialConn(ctx context.Context, address netip.AddrPort, config *tls.Config) (net.Conn, error) {
+	if config == nil {
+		return new(net.Dialer).DialContext(ctx, "tcp", address.String())
+	}
+	return (&tls.Dialer{Config: config}).DialContext(ctx, "tcp", address.String())
+}
+
+// Open begins a stream with its first message.
+func (l *Link) Open(first *Open) (*Stream, error) {
+	conn, err := l.session.Open()
+	if err != nil {
+		return nil, ErrLink.Type().Wrap(err, "open a stream")
+	}
+	s := NewStream(conn)
+	if err := s.Send(first); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Closed is closed when the link is gone.
+func (l *Link) Closed() <-chan struct{} { return l.session.CloseChan() }
+
+// Close ends the link and its streams.
+func (l *Link) Close() error { return l.session.Close() }
+
+// Handler serves one stream that another process opened. It closes the stream.
+type Handler func(ctx context.Context, first *Open, s *Stream)
+
+// Serve accepts links until the context ends.
+func Serve(ctx context.Context, listener net.Listener, handle Handler) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept a peer: %w", err)
+		}
+		go serveLink(ctx, conn, handle)
+	}
+}
+
+func serveLink(ctx context.Context, conn net.Conn, handle Handler) {
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	defer session.Close()
+	for {
+		accepted, err := session.Accept()
+		if err != nil {
+			return
+		}
+		go serveStream(ctx, accepted, handle)
+	}
+}
+
+func serveStream(ctx context.Context, conn net.Conn, handle Handler) {
+	s := NewStream(conn)
+	defer s.Close()
+	first := new(Open)
+	if err := s.ReceiveBefore(first, writeTimeout); err != nil {
+		return
+	}
+	handle(ctx, first, s)
+}
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.KeepAliveInterval = keepAliveEvery
+	config.ConnectionWriteTimeout = writeTimeout
+	config.MaxStreamWindowSize = streamWindow
+	config.AcceptBacklog = 1024
+	config.LogOutput = io.Discard
+	return config
+}
