Test the reducer by causing the failures

Cause: the promises were modelled but the code that carries them was not tested.

Change: a world of reducers joined by a log and a network that tests drive by hand, virtual time only; rapid drives ranks, readers, keys, cold targets and take-outs with adversaries and checks the invariants after every event.

Found: a new daemon that got the records from the first one on from a peer held them for ever, since only its own read of the log marked the start as complete; during an outage of the log it never began to serve. The record at offset 1 now proves the start by itself.

--- /dev/null
+++ b/shared/control/agent_test.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chervilswitch.example/shared/operator"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// testTarget is a target that is cold for its first answers, and again after it
+// turns cold; it counts what it got beyond what it can bear.
+type testTarget struct {
+	boot     int
+	answered int
+	running  []AttemptID
+	overload int
+}
+
+const answersToWarm = 3
+
+func (g *testTarget) cold() bool { return g.answered < answersToWarm }
+
+func (g *testTarget) receive(id AttemptID) {
+	if g.cold() && len(g.running) >= coldLimit {
+		g.overload++
+	}
+	g.running = append(g.running, id)
+}
+
+// restart loses all work; the target is cold again.
+func (g *testTarget) restart() []AttemptID {
+	lost := g.running
+	g.boot++
+	g.answered, g.running = 0, nil
+	return lost
+}
+
+func (g *testTarget) report() TargetReport {
+	return TargetReport{Boot: fmt.Sprint(g.boot), Running: len(g.running), Cold: g.cold()}
+}
+
+func TestColdTargetGetsColdLimit(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	p := w.processes["model-a"]
+	c.Assert(w.submit(p, "early", "").Code, qt.Equals, CodeUnknown, qt.Commentf("the target's own count is not known yet"))
+	w.send(p, TargetReport{Boot: "1", Cold: true})
+	for i := range coldLimit {
+		c.Assert(w.submit(p, AttemptID(fmt.Sprint("r", i)), "").Outcome, qt.Equals, OutcomeAdmitted)
+	}
+	c.Assert(w.submit(p, "more", "").Code, qt.Equals, CodeBusy)
+}
+
+func TestLimitRisesWithServiceAndFallsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	p := w.processes["model-a"]
+	warmModel(w, p)
+	for i := range 2 * warmLimit {
+		id := AttemptID(fmt.Sprint("r", i))
+		w.submit(p, id, "")
+		w.send(p, TargetProduced{Attempt: id, Latency: 50 * time.Millisecond, Boot: "1"})
+		w.send(p, TargetFinished{Attempt: id})
+	}
+	c.Assert(p.state.Load().Limit, qt.Equals, warmLimit)
+	w.submit(p, "slow", "")
+	w.send(p, TargetProduced{Attempt: "slow", Latency: time.Second, Boot: "1"})
+	c.Assert(p.state.Load().Limit, qt.Equals, coldLimit, qt.Commentf("four times slower without a warning"))
+	w.send(p, TargetFinished{Attempt: "slow"})
+	w.submit(p, "again", "")
+	w.send(p, TargetProduced{Attempt: "again", Latency: 50 * time.Millisecond, Boot: "2"})
+	c.Assert(p.state.Load().Limit, qt.Equals, coldLimit, qt.Commentf("another boot"))
+}
+
+func TestWorkOfEarlierIncarnationCounts(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	p := w.processes["model-a"]
+	w.send(p, TargetReport{Boot: "1", Running: coldLimit})
+	c.Assert(w.submit(p, "r", "").Code, qt.Equals, CodeBusy)
+	w.send(p, TargetReport{Boot: "1", Running: 0})
+	c.Assert(w.submit(p, "s", "").Outcome, qt.Equals, OutcomeAdmitted)
+}
+
+func TestUnwatchedWorkIsStoppedIfRepeatable(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	model, desk := w.processes["model-a"], w.processes["desk-a"]
+	warmModel(w, model)
+	w.submit(model, "m", "")
+	w.submit(desk, "d", "")
+	for _, p := range []*process{model, desk} {
+		id := p.runs[0]
+		w.send(p, Watched{Attempt: id, Watchers: 1})
+		w.send(p, Watched{Attempt: id, Watchers: 0})
+	}
+	w.pass(unwatchedGrace+time.Second, nil, nil)
+	c.Assert(model.stops, qt.DeepEquals, []AttemptID{"m"})
+	c.Assert(desk.stops, qt.HasLen, 0, qt.Commentf("a deposit was stopped half way"))
+}
+
+// TestColdLimitUnderAdversary sends far more than a target can bear through one
+// agent, while the target restarts without warning, the agent is replaced and
+// load reports lag.
+func TestColdLimitUnderAdversary(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.startAll()
+		p := w.processes["model-a"]
+		target := &testTarget{boot: 1}
+		reports := []TargetReport{target.report()}
+		for i := range rapid.IntRange(20, 200).Draw(t, "events") {
+			w.now = w.now.Add(20 * time.Millisecond)
+			w.sync(p)
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0, 1, 2, 3:
+				id := AttemptID(fmt.Sprint("r", i))
+				if w.submit(p, id, "").Outcome == OutcomeAdmitted {
+					target.receive(id)
+				}
+			case 4, 5, 6:
+				if len(target.running) > 0 {
+					id := target.running[0]
+					target.running = target.running[1:]
+					target.answered++
+					w.send(p, TargetProduced{Attempt: id, Latency: 10 * time.Millisecond, Boot: fmt.Sprint(target.boot)})
+					w.send(p, TargetFinished{Attempt: id})
+				}
+			case 7:
+				reports = append(reports, target.report())
+				lag := rapid.IntRange(0, min(2, len(reports)-1)).Draw(t, "lag")
+				w.send(p, reports[len(reports)-1-lag])
+			case 8:
+				for _, id := range target.restart() { // Its connections break.
+					w.send(p, TargetFinished{Attempt: id, Failed: true})
+				}
+			}
+			if target.overload > 0 {
+				t.Fatalf("the target got %d requests beyond its cold limit", target.overload)
+			}
+			if p.state.agent.running > warmLimit || p.state.agent.unproven > coldLimit {
+				t.Fatalf("running %d, unproven %d", p.state.agent.running, p.state.agent.unproven)
+			}
+		}
+	})
+}
+
+func TestRulesOfAgentForbidRepeats(t *testing.T) {
+	c := qt.New(t)
+	service := operator.Service{
+		NonIdempotent: []operator.RequestRule{{PathPrefix: "/stock"}},
+		Idempotent:    []operator.RequestRule{{Method: "POST", PathPrefix: "/lookup"}},
+	}
+	c.Assert(service.Repeatable("GET", "/stock/7"), qt.IsFalse)
+	c.Assert(service.Repeatable("GET", "/stocks"), qt.IsTrue)
+	c.Assert(service.Repeatable("POST", "/lookup"), qt.IsTrue)
+	c.Assert(service.Repeatable("POST", "/other"), qt.IsFalse)
+	c.Assert(service.Repeatable("PUT", "/other"), qt.IsTrue)
+}
--- a/shared/control/config.go
+++ b/shared/control/config.go
@@ -95,6 +95,9 @@
 	if part := c.snapshotPart(r); part != nil && c.joinPart(r, part) {
 		return c.drain()
 	}
+	if r.Offset == 1 {
+		c.base = true // Nothing can be missing before the first record.
+	}
 	c.hold(r)
 	return c.drain()
 }
--- /dev/null
+++ b/shared/control/entry_test.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// entryWorld has an entry that knows three warm model targets.
+func entryWorld(t *testing.T) (*world, *process) {
+	w := newWorld(t)
+	w.startAll()
+	for _, name := range []string{"model-a", "model-b", "model-c"} {
+		warmModel(w, w.processes[name])
+	}
+	w.askAll()
+	return w, w.processes["entry-a"]
+}
+
+func modelRequest(id string) Request {
+	return Request{ID: RequestID(id), Organisation: "o", Service: testModel, Idempotent: true, Replayable: true}
+}
+
+func (w *world) answer(p *process, f Forward, v Verdict) {
+	w.send(p, AttemptAnswered{Request: f.Request, Attempt: f.Attempt, Verdict: v, Load: Load{Limit: warmLimit, Credit: 2}})
+}
+
+func TestRefusedRequestGoesElsewhere(t *testing.T) {
+	c := qt.New(t)
+	w, e := entryWorld(t)
+	for range 10 { // Earlier requests earn a retry.
+		e.state.entry.budget += retryEarned
+	}
+	w.send(e, RequestArrived{Request: modelRequest("o/1")})
+	c.Assert(e.forwards, qt.HasLen, 1)
+	w.answer(e, e.forwards[0], Verdict{Outcome: OutcomeNotRun, Code: CodeBusy})
+	c.Assert(e.forwards, qt.HasLen, 2)
+	c.Assert(e.forwards[1].Target, qt.Not(qt.Equals), e.forwards[0].Target)
+	c.Assert(e.forwards[1].Attempt, qt.Not(qt.Equals), e.forwards[0].Attempt)
+	w.answer(e, e.forwards[0], Verdict{Outcome: OutcomeUnknown, Code: CodeTargetLost})
+	c.Assert(e.failures, qt.HasLen, 0, qt.Commentf("a late answer of an earlier attempt counted"))
+}
+
+func TestUnknownIsRetriedOnlyIfRepeatable(t *testing.T) {
+	c := qt.New(t)
+	w, e := entryWorld(t)
+	e.state.entry.budget = maxRetries
+	w.send(e, RequestArrived{Request: Request{ID: "o/d", Service: testService}})
+	w.answer(e, e.forwards[0], Verdict{Outcome: OutcomeUnknown, Code: CodeTargetLost})
+	c.Assert(e.failures["o/d"], qt.DeepEquals, Failure{Outcome: OutcomeUnknown, Code: CodeTargetLost})
+	w.send(e, RequestArrived{Request: modelRequest("o/m")})
+	w.answer(e, e.forwards[1], Verdict{Outcome: OutcomeUnknown, Code: CodeTargetLost})
+	c.Assert(e.forwards, qt.HasLen, 3)
+	w.send(e, AttemptProduced{Request: "o/m", Attempt: e.forwards[2].Attempt})
+	w.answer(e, e.forwards[2], Verdict{Outcome: OutcomeUnknown, Code: CodeTargetLost})
+	c.Assert(e.failures["o/m"].Outcome, qt.Equals, OutcomeUnknown, qt.Commentf("part of the answer was delivered"))
+}
+
+func TestRetriesStayWithinBudget(t *testing.T) {
+	c := qt.New(t)
+	w, e := entryWorld(t)
+	const requests = 500
+	for i := range requests {
+		id := fmt.Sprint("o/", i)
+		w.send(e, RequestArrived{Request: modelRequest(id)})
+		for sent := 0; sent < len(e.forwards); sent++ {
+			f := e.forwards[sent]
+			if f.Request == RequestID(id) {
+				w.answer(e, f, Verdict{Outcome: OutcomeNotRun, Code: CodeBusy})
+			}
+		}
+		w.askAll()
+		w.send(e, Tick{})
+	}
+	c.Assert(len(e.forwards) <= requests*11/10, qt.IsTrue, qt.Commentf("%d attempts for %d requests", len(e.forwards), requests))
+}
+
+func TestLostAttemptIsAskedAfter(t *testing.T) {
+	c := qt.New(t)
+	w, e := entryWorld(t)
+	w.send(e, RequestArrived{Request: Request{ID: "o/d", Service: testService}})
+	f := e.forwards[0]
+	w.send(e, AttemptLost{Request: f.Request, Attempt: f.Attempt})
+	c.Assert(e.attaches, qt.HasLen, 1)
+	c.Assert(e.attaches[0].Attempt, qt.Equals, f.Attempt)
+	c.Assert(e.attaches[0].Incarnation, qt.Equals, f.Incarnation)
+	w.pass(reattachWindow+time.Second, nil, nil)
+	c.Assert(e.failures["o/d"], qt.DeepEquals, Failure{Outcome: OutcomeUnknown, Code: CodeLinkLost})
+	c.Assert(e.forwards, qt.HasLen, 1)
+}
+
+func TestAttemptWithoutVerdictIsAskedAfter(t *testing.T) {
+	c := qt.New(t)
+	w, e := entryWorld(t)
+	w.send(e, RequestArrived{Request: Request{ID: "o/d", Service: testService}})
+	w.pass(verdictTimeout+time.Second, nil, nil)
+	c.Assert(len(e.attaches) > 0, qt.IsTrue)
+}
+
+func TestEntryAvoidsTakenOutAndLeaving(t *testing.T) {
+	c := qt.New(t)
+	w, e := entryWorld(t)
+	w.publish("out", centreEdit("a", true))
+	w.pass(time.Second, nil, nil)
+	for i := range 20 {
+		w.send(e, RequestArrived{Request: modelRequest(fmt.Sprint("o/", i))})
+		w.askAll()
+	}
+	c.Assert(len(e.forwards) > 0, qt.IsTrue)
+	for _, f := range e.forwards {
+		c.Assert(f.Target, qt.Not(qt.Equals), "model-a")
+	}
+}
+
+func TestSharesAndPriorities(t *testing.T) {
+	c := qt.New(t)
+	var q fairQueue
+	for i := range 30 {
+		q.push(0, "large", 1, queued{id: RequestID(fmt.Sprint("l", i))})
+	}
+	q.push(0, "small", 1, queued{id: "s"})
+	q.push(5, "urgent", 1, queued{id: "u"})
+	first, _ := q.pop()
+	second, _ := q.pop()
+	third, _ := q.pop()
+	c.Assert(first.id, qt.Equals, RequestID("u"))
+	c.Assert(second.id, qt.Equals, RequestID("l0"))
+	c.Assert(third.id, qt.Equals, RequestID("s"), qt.Commentf("one organisation's queue held up another"))
+}
+
+func TestHotPrefixSpillsOver(t *testing.T) {
+	c := qt.New(t)
+	candidates := []Candidate{
+		{Name: "cached", Limit: 8, Running: 8, Allowed: 4, FirstOutput: time.Second, Usable: true, Near: true},
+		{Name: "idle", Limit: 8, Allowed: 4, FirstOutput: 100 * time.Millisecond, Usable: true, Near: true},
+	}
+	c.Assert(choose(candidates, 1, 0, 0).target, qt.Equals, 1)
+	candidates[0].Running, candidates[0].FirstOutput = 0, 100*time.Millisecond
+	c.Assert(choose(candidates, 1, 0, 0).reason, qt.Equals, "cachedPrefix")
+	candidates[1].Allowed = 0
+	c.Assert(choose(candidates, 1, -1, 1).target, qt.Equals, -1, qt.Commentf("the only free target was excluded"))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{10, 65, 650} {
+		candidates := make([]Candidate, count)
+		for i := range candidates {
+			candidates[i] = Candidate{Limit: 16, Running: i % 16, Allowed: 4, FirstOutput: 100 * time.Millisecond, Usable: true}
+		}
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				choose(candidates, uint64(i), i%count, 0)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/shared/control/once_test.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chervilswitch.example/shared/platform"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func TestKeyedRetryFindsItsOwner(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	a, b := w.processes["desk-a"], w.processes["desk-b"]
+	w.submit(a, "r/1", "org/k")
+	c.Assert(a.runs, qt.HasLen, 0, qt.Commentf("ran before its intent was read back"))
+	w.sync(a)
+	c.Assert(a.runs, qt.DeepEquals, []AttemptID{"r/1"})
+	w.sync(b)
+	c.Assert(w.submit(b, "r/2", "org/k"), qt.DeepEquals, Verdict{Outcome: OutcomeMoved, Code: CodeDuplicate, Owner: "desk-a"})
+	w.submit(a, "r/3", "org/k")
+	c.Assert(a.joins["r/3"], qt.Equals, AttemptID("r/1"))
+	c.Assert(a.runs, qt.HasLen, 1)
+}
+
+func TestRetryAfterReplacementIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	old := w.processes["desk-a"]
+	w.submit(old, "r/1", "org/k")
+	w.sync(old)
+	replacement := w.start("desk-a")
+	w.askAll()
+	w.sync(replacement)
+	c.Assert(w.submit(replacement, "r/2", "org/k").Outcome, qt.Equals, OutcomeUnknown)
+	b := w.processes["desk-b"]
+	w.sync(b)
+	c.Assert(w.submit(b, "r/3", "org/k").Outcome, qt.Equals, OutcomeUnknown)
+	c.Assert(append(replacement.runs, b.runs...), qt.HasLen, 0)
+}
+
+func TestPausedAgentStepsDown(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	old := w.processes["desk-a"]
+	w.now = w.now.Add(10 * time.Second) // It was paused; its evidence is old.
+	c.Assert(w.submit(old, "r/1", "").Code, qt.Equals, CodeOutOfTouch)
+	w.start("desk-a")
+	w.sync(old)
+	c.Assert(w.submit(old, "r/2", ""), qt.DeepEquals, Verdict{Outcome: OutcomeNotRun, Code: CodeSuperseded})
+}
+
+func TestLateClaimDoesNotSupersede(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.restricted = true
+	slow := w.start("desk-a") // Its claim is under way.
+	w.now = w.now.Add(time.Second)
+	fast := w.start("desk-a")
+	c.Assert(w.pending, qt.HasLen, 2)
+	w.land(1)
+	w.land(0)
+	w.sync(fast)
+	w.sync(slow)
+	c.Assert(fast.state.Superseded(), qt.IsFalse)
+	c.Assert(fast.state.claimed, qt.IsTrue)
+}
+
+func TestIncarnationIsNewerThanAnotherClock(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.next = 1000 // The first instance's clock runs ahead.
+	w.start("desk-a")
+	w.next = 10
+	p := w.start("desk-a")
+	w.sync(p)
+	c.Assert(p.state.claimed, qt.IsTrue)
+	c.Assert(p.state.self.Incarnation > 1000, qt.IsTrue)
+}
+
+func TestIntentThatLandsLate(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	a := w.processes["desk-a"]
+	w.restricted = true
+	w.submit(a, "r/1", "org/k")
+	w.pass(intentTimeout+500*time.Millisecond, nil, nil)
+	c.Assert(a.verdicts["r/1"], qt.DeepEquals, Verdict{Outcome: OutcomeNotRun, Code: CodeLogDown})
+	w.restricted = false
+	w.landAll()
+	w.sync(a)
+	c.Assert(a.runs, qt.HasLen, 0, qt.Commentf("ran after it was said not to run"))
+	w.submit(a, "r/2", "org/k")
+	c.Assert(a.runs, qt.DeepEquals, []AttemptID{"r/2"}, qt.Commentf("the agent owns the key and did not run it"))
+}
+
+func TestLogOutageRefusesKeysOnly(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	down := make(map[string]bool)
+	for name := range w.processes {
+		down[name] = true
+	}
+	w.pass(5*time.Second, down, nil)
+	a := w.processes["desk-a"]
+	c.Assert(a.state.Gate(), qt.Equals, GateOutage)
+	c.Assert(w.submit(a, "r/1", "org/k"), qt.DeepEquals, Verdict{Outcome: OutcomeNotRun, Code: CodeLogDown})
+	c.Assert(w.submit(a, "r/2", "").Outcome, qt.Equals, OutcomeAdmitted)
+}
+
+func TestKeyReusedForAnotherRequest(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	a := w.processes["desk-a"]
+	w.submit(a, "r/1", "org/k")
+	w.sync(a)
+	w.send(a, Submitted{Submission: Submission{Attempt: "r/2", Incarnation: a.state.self.Incarnation, Method: "POST", Path: "/deposits", Key: "org/k", Fingerprint: 2}})
+	c.Assert(a.verdicts["r/2"], qt.DeepEquals, Verdict{Outcome: OutcomeNotRun, Code: CodeKeyReused})
+}
+
+func TestAttemptNeverSeenIsRefusedForGood(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	a := w.processes["desk-a"]
+	w.send(a, Attached{Attempt: "r/1", Incarnation: a.state.self.Incarnation})
+	c.Assert(a.verdicts["r/1"], qt.DeepEquals, Verdict{Outcome: OutcomeNotRun, Code: CodeNeverSeen})
+	w.submit(a, "r/1", "") // The submission was under way all the time.
+	c.Assert(a.runs, qt.HasLen, 0)
+	w.send(a, Attached{Attempt: "r/2", Incarnation: a.state.self.Incarnation - 1})
+	c.Assert(a.verdicts["r/2"].Outcome, qt.Equals, OutcomeUnknown, qt.Commentf("it cannot speak for an earlier incarnation"))
+}
+
+// TestOnceUnderAdversary lets callers retry keys at any agent while appends are
+// late, doubled or lost and agents are paused, replaced and cut off.
+func TestOnceUnderAdversary(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.startAll()
+		w.restricted = true
+		all := []*process{w.processes["desk-a"], w.processes["desk-b"], w.processes["desk-c"]}
+		for i := range rapid.IntRange(10, 80).Draw(t, "events") {
+			p := all[rapid.IntRange(0, len(all)-1).Draw(t, "process")]
+			switch rapid.IntRange(0, 11).Draw(t, "action") {
+			case 0, 1, 2, 3:
+				key := rapid.SampledFrom([]string{"k1", "k2", ""}).Draw(t, "key")
+				w.submit(p, AttemptID(fmt.Sprint(key, "/", i)), key)
+			case 4, 5:
+				w.sync(p)
+			case 6:
+				if len(w.pending) > 0 {
+					w.land(rapid.IntRange(0, len(w.pending)-1).Draw(t, "append"))
+				}
+			case 7:
+				if len(w.pending) > 0 { // It takes effect now and again later.
+					w.pending = append(w.pending, w.pending[0])
+					w.land(0)
+				}
+			case 8:
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "milliseconds")) * time.Millisecond)
+				w.send(p, Tick{})
+			case 9:
+				all = append(all, w.start(p.name)) // The old one goes on beside it.
+			case 10:
+				w.send(p, Attached{Attempt: AttemptID(fmt.Sprint("k1/", i+1)), Incarnation: p.state.self.Incarnation})
+			case 11:
+				if len(p.runs) > 0 {
+					w.send(p, TargetFinished{Attempt: p.runs[0]})
+				}
+			}
+			checkOnce(t, all)
+		}
+	})
+}
+
+// checkOnce fails if a key ran twice, or if an attempt ran that was said not to.
+func checkOnce(t *rapid.T, all []*process) {
+	ran := make(map[string]int)
+	attempts := make(map[AttemptID]int)
+	for _, p := range all {
+		for _, id := range p.runs {
+			attempts[id]++
+			if key := p.state.agent.runs[id].submission.Key; key != "" {
+				ran[key]++
+			}
+			if v := p.verdicts[id]; v.Outcome == OutcomeNotRun {
+				t.Fatalf("%s ran at %s though it was refused: %+v", id, p.name, v)
+			}
+		}
+	}
+	for key, count := range ran {
+		if count > 1 {
+			t.Fatalf("key %s ran %d times", key, count)
+		}
+	}
+	for id, count := range attempts {
+		if count > 1 {
+			t.Fatalf("attempt %s ran %d times", id, count)
+		}
+	}
+}
+
+func TestIntentRecordsShareAppends(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	a := w.processes["desk-a"]
+	before := len(w.intents.records)
+	w.send(a, Submitted{Submission: Submission{Attempt: "x", Incarnation: a.state.self.Incarnation, Key: "x", Method: "POST"}})
+	w.send(a, Submitted{Submission: Submission{Attempt: "y", Incarnation: a.state.self.Incarnation, Key: "y", Method: "POST"}})
+	w.now = w.now.Add(intentEvery)
+	w.send(a, Tick{})
+	c.Assert(len(w.intents.records)-before, qt.Equals, 2)
+	var keys int
+	for _, r := range w.intents.records[before:] {
+		intent, err := DecodeIntent(r.Data)
+		c.Assert(err, qt.IsNil)
+		keys += len(intent.Keys)
+	}
+	c.Assert(keys, qt.Equals, 2)
+	c.Assert(platform.IntentStream(testService), qt.Equals, platform.Stream("intents-desk"))
+}
--- /dev/null
+++ b/shared/control/world_test.go
@@ -0,0 +1,270 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/platform"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	testService = "desk"
+	testModel   = "assistant"
+	coldLimit   = 2
+	warmLimit   = 8
+)
+
+// step is one event with its time, and what it led to.
+type step struct {
+	at      time.Time
+	event   Event
+	effects []Effect
+}
+
+// process is one reducer with what the test knows of it.
+type process struct {
+	name  string
+	state *State
+	steps []step
+	runs  []AttemptID
+	stops []AttemptID
+	// verdicts are the answers to attempts; joins are answers that are shared.
+	verdicts map[AttemptID]Verdict
+	joins    map[AttemptID]AttemptID
+	forwards []Forward
+	attaches []Reattach
+	failures map[RequestID]Failure
+	asks     []AskRecords
+}
+
+// world joins reducers by a log and a network that the test drives by hand. Its
+// clock moves only when the test says so.
+type world struct {
+	t         fataler
+	now       time.Time
+	config    *testLog
+	intents   *testLog
+	pending   []Append
+	processes map[string]*process
+	next      uint64
+	// restricted keeps appends pending until the test lands them.
+	restricted bool
+}
+
+func newWorld(t fataler) *world {
+	w := &world{
+		t: t, now: time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC), config: newTestLog(), intents: newTestLog(),
+		processes: make(map[string]*process), next: 1,
+	}
+	inventory := testInventory()
+	w.config.append(encoded(t, changeRecord("inventory", 0, inventory.Edits()...)))
+	return w
+}
+
+func testInventory() *operator.Inventory {
+	v := &operator.Inventory{
+		DataCentres: map[string]operator.DataCentre{"a": {}, "b": {}, "c": {}},
+		Instances:   make(map[string]operator.Instance),
+		Services: map[string]operator.Service{
+			testService: {Kind: operator.KindPlain, ColdLimit: coldLimit, WarmLimit: warmLimit},
+			testModel:   {Kind: operator.KindModel, Models: []string{"m"}, ColdLimit: coldLimit, WarmLimit: warmLimit},
+		},
+	}
+	for i, centre := range []string{"a", "b", "c"} {
+		port := uint16(i)
+		v.Instances["entry-"+centre] = operator.Instance{
+			DataCentre: centre, Role: operator.RoleEntry,
+			Peer: testAddress(100 + port), Caller: testAddress(200 + port),
+		}
+		v.Instances["desk-"+centre] = operator.Instance{DataCentre: centre, Role: operator.RoleAgent, Peer: testAddress(300 + port), Service: testService}
+		v.Instances["model-"+centre] = operator.Instance{DataCentre: centre, Role: operator.RoleAgent, Peer: testAddress(400 + port), Service: testModel}
+	}
+	return v
+}
+
+func testAddress(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port)
+}
+
+// start begins a process; an old one of the same name goes on if the test keeps it.
+func (w *world) start(name string) *process {
+	instance := testInventory().Instances[name]
+	w.next++
+	p := &process{
+		name: name, verdicts: make(map[AttemptID]Verdict), joins: make(map[AttemptID]AttemptID),
+		failures: make(map[RequestID]Failure),
+		state: NewState(Identity{
+			Instance: name, DataCentre: instance.DataCentre, Role: instance.Role,
+			Incarnation: w.next, Service: instance.Service, Retention: 24 * time.Hour,
+		}),
+	}
+	w.processes[name] = p
+	w.sync(p)
+	w.send(p, Tick{}) // It claims its instance.
+	w.sync(p)
+	return p
+}
+
+func (w *world) startAll() {
+	for _, name := range sortedKeys(testInventory().Instances) {
+		w.start(name)
+	}
+	w.askAll()
+}
+
+// send reduces one event and files its effects.
+func (w *world) send(p *process, e Event) {
+	effects := p.state.Reduce(w.now, e)
+	p.steps = append(p.steps, step{at: w.now, event: e, effects: effects})
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case Append:
+			w.pending = append(w.pending, effect)
+		case Run:
+			p.runs = append(p.runs, effect.Attempt)
+			p.verdicts[effect.Attempt] = Verdict{Outcome: OutcomeAdmitted}
+		case Stop:
+			p.stops = append(p.stops, effect.Attempt)
+		case Refuse:
+			p.verdicts[effect.Attempt] = effect.Verdict
+		case Join:
+			p.joins[effect.Attempt] = effect.Runs
+		case Forward:
+			p.forwards = append(p.forwards, effect)
+		case Reattach:
+			p.attaches = append(p.attaches, effect)
+		case Fail:
+			p.failures[effect.Request] = effect.Failure
+		case AskRecords:
+			p.asks = append(p.asks, effect)
+		}
+	}
+	if !w.restricted {
+		w.landAll()
+	}
+}
+
+func (w *world) landAll() {
+	for len(w.pending) > 0 {
+		w.land(0)
+	}
+}
+
+// land lets one pending append take effect.
+func (w *world) land(i int) {
+	a := w.pending[i]
+	w.pending = append(w.pending[:i:i], w.pending[i+1:]...)
+	if a.Stream == platform.ConfigStream {
+		w.config.append(a.Data)
+	} else {
+		w.intents.append(a.Data)
+	}
+}
+
+// sync lets a process read both streams to their ends.
+func (w *world) sync(p *process) {
+	w.send(p, LogPage{Stream: platform.ConfigStream, AskedAt: w.now, Page: w.config.page(p.state.config.Applied() + 1)})
+	if p.state.self.Service == testService {
+		w.send(p, LogPage{Stream: platform.IntentStream(testService), AskedAt: w.now, Page: w.intents.page(p.state.agent.keys.read + 1)})
+	}
+}
+
+// ask lets one process ask another for its state and, if behind, its records.
+func (w *world) ask(p, peer *process) {
+	w.send(p, PeerAnswer{AskedAt: w.now, Beat: peer.state.Beat(w.now)})
+	for _, ask := range p.asks {
+		if records, whole := peer.state.config.Tail(ask.From); whole {
+			w.send(p, PeerRecords{Records: records})
+		} else {
+			w.send(p, PeerRecords{Snapshot: peer.state.config.Snapshot("peer")})
+		}
+	}
+	p.asks = nil
+}
+
+func (w *world) askAll() {
+	for _, name := range sortedKeys(w.processes) {
+		for _, peer := range sortedKeys(w.processes) {
+			if name != peer {
+				w.ask(w.processes[name], w.processes[peer])
+			}
+		}
+	}
+}
+
+// pass lets time go by in small steps; cut processes do not read the log, and
+// those in silent talk to nobody.
+func (w *world) pass(d time.Duration, cut, silent map[string]bool) {
+	const every = 250 * time.Millisecond
+	for until := w.now.Add(d); w.now.Before(until); {
+		w.now = w.now.Add(every)
+		for _, name := range sortedKeys(w.processes) {
+			p := w.processes[name]
+			if !cut[name] {
+				w.sync(p)
+			}
+			w.send(p, Tick{})
+			for _, peer := range sortedKeys(w.processes) {
+				if name != peer && silent[name] == silent[peer] && !(silent[name] && p.state.self.DataCentre != w.processes[peer].state.self.DataCentre) {
+					w.ask(p, w.processes[peer])
+				}
+			}
+		}
+	}
+}
+
+func (w *world) publish(id string, edits ...operator.Edit) {
+	base := platform.Offset(len(w.config.records))
+	w.config.append(encoded(w.t, changeRecord(id, base, edits...)))
+}
+
+func (w *world) submit(p *process, attempt AttemptID, key string) Verdict {
+	s := Submission{
+		Attempt: attempt, Incarnation: p.state.self.Incarnation, Method: "POST", Path: "/deposits", Key: key, Fingerprint: 1,
+	}
+	if p.state.self.Service == testModel {
+		s.Idempotent, s.Key = true, ""
+	}
+	w.send(p, Submitted{Submission: s})
+	return p.verdicts[attempt]
+}
+
+func edit[T any](t fataler, c operator.Collection, name string, value T) operator.Edit {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return operator.Edit{Key: operator.Key{Collection: c, Name: name}, Value: raw}
+}
+
+// TestSameEventsSameEffects replays what every process saw through a new state.
+func TestSameEventsSameEffects(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	desk, entry := w.processes["desk-a"], w.processes["entry-a"]
+	for i := range 20 {
+		w.submit(desk, AttemptID(fmt.Sprint("r", i)), fmt.Sprint("k", i%7))
+		w.send(entry, RequestArrived{Request: Request{ID: RequestID(fmt.Sprint("q", i)), Organisation: fmt.Sprint("o", i%3), Service: testModel, Idempotent: true}})
+		w.pass(250*time.Millisecond, nil, nil)
+	}
+	w.publish("out", centreEdit("a", true))
+	w.pass(time.Second, nil, nil)
+	for _, p := range w.processes {
+		again := NewState(p.steps0())
+		for _, s := range p.steps {
+			effects := again.Reduce(s.at, s.event)
+			c.Assert(reflect.DeepEqual(effects, s.effects), qt.IsTrue, qt.Commentf("%s: %#v", p.name, s.event))
+		}
+	}
+}
+
+// steps0 is the identity that the process began with.
+func (p *process) steps0() Identity { return p.state.self }
