Make errors match their sentinels

Cause: the errorx that the registry serves (v0.8.0) has no Is method, so that errors.Is(err, ErrX) was false for every error made from a type. Found by FuzzStream's check that each decoding error matches ErrLink.

Change: shared/fault joins errorx types with errors.Is; every package uses it. Fuzz targets for records, intents, inventories and peer messages.

Ruled out: a later errorx (v0.8.0 is the newest that is served).

Before: errors.Is false, so exit codes 3 to 5 and rate-limit retries of the operators' command never happened.

Conclusion: sentinels work as the house style wants them.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,14 @@
 
 model: setup
 	./model/check
+
+# Long random runs. A failure prints its seed and the shrunk trace.
+FUZZ_CHECKS ?= 20000
+FUZZ_TIME ?= 30s
+
+fuzz:
+	CHERVIL_RANDOM=1 go test -count=1 -timeout 60m -run Adversary ./shared/control -rapid.checks=$(FUZZ_CHECKS)
+	go test -run xxx -fuzz FuzzRecord -fuzztime $(FUZZ_TIME) ./shared/control
+	go test -run xxx -fuzz FuzzIntent -fuzztime $(FUZZ_TIME) ./shared/control
+	go test -run xxx -fuzz FuzzInventory -fuzztime $(FUZZ_TIME) ./shared/operator
+	go test -run xxx -fuzz FuzzStream -fuzztime $(FUZZ_TIME) ./shared/peer
--- a/demo/site/site.go
+++ b/demo/site/site.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -302,3 +303,59 @@
 	s.runAgent(options, listener)
 	return nil
 }
+
+// readyWithin bounds the wait for a deployment to take work.
+const (
+	readyWithin = time.Minute
+	readyPoll   = 20 * time.Millisecond
+)
+
+// AwaitReady waits until every entry that runs hears all agents take work.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for name := range s.Callers {
+		if err := s.awaitEntry(ctx, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) awaitEntry(ctx context.Context, name string) error {
+	for {
+		select {
+		case <-s.Processes[name].Done:
+			return nil
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %w", name, ctx.Err())
+		case <-time.After(readyPoll):
+		}
+		if s.hearsAll(ctx, name) {
+			return nil
+		}
+	}
+}
+
+func (s *Site) hearsAll(ctx context.Context, name string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Operators[name].String()+"/status", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	var status caller.Status
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		return false
+	}
+	open := 0
+	for _, peer := range status.Peers {
+		if peer.Role == string(operator.RoleAgent) && !peer.Closed {
+			open++
+		}
+	}
+	return status.Gate == "fresh" && open == len(s.targets)
+}
--- a/entry/caller/api.go
+++ b/entry/caller/api.go
@@ -15,6 +15,7 @@
 
 	"chervilswitch.example/entry/api"
 	"chervilswitch.example/shared/control"
+	"chervilswitch.example/shared/fault"
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/peer"
 
@@ -48,7 +49,9 @@
 	return context.WithValue(ctx, organisationKey{}, name), nil
 }
 
-var errNoOrganisation = errorsNamespace.NewType("noOrganisation").New("the key belongs to no organisation")
+const noOrganisation = "the key belongs to no organisation"
+
+var errNoOrganisation = fault.NewSentinel("caller", "noOrganisation").New(noOrganisation)
 
 func (e *Entry) organisation(key string) (string, bool) {
 	sum := sha256.Sum256([]byte(key))
@@ -248,7 +251,7 @@
 	case errors.As(err, &failed):
 		return describeFailure(failed.Failure)
 	case errors.Is(err, errNoOrganisation):
-		return http.StatusUnauthorized, api.Failure{Code: "noOrganisation", Outcome: api.FailureOutcomeNotRun, Message: errNoOrganisation.Message(), Field: api.NewOptString("Authorization")}
+		return http.StatusUnauthorized, api.Failure{Code: "noOrganisation", Outcome: api.FailureOutcomeNotRun, Message: noOrganisation, Field: api.NewOptString("Authorization")}
 	}
 	return http.StatusInternalServerError, api.Failure{Code: "internal", Outcome: api.FailureOutcomeUnknown, Message: err.Error()}
 }
--- a/entry/caller/decode.go
+++ b/entry/caller/decode.go
@@ -24,7 +24,7 @@
 		return http.StatusRequestEntityTooLarge, body
 	case errors.As(err, &security):
 		body.Code, body.Field = "noOrganisation", api.NewOptString("Authorization")
-		body.Message = errNoOrganisation.Message()
+		body.Message = noOrganisation
 		return http.StatusUnauthorized, body
 	case errors.As(err, &parameter):
 		body.Field = api.NewOptString(parameter.Name)
--- a/entry/caller/exchange.go
+++ b/entry/caller/exchange.go
@@ -9,10 +9,10 @@
 
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/fault"
 	"chervilswitch.example/shared/peer"
 
 	"github.com/apex/log"
-	"github.com/joomcode/errorx"
 )
 
 const (
@@ -22,10 +22,8 @@
 )
 
 var (
-	errorsNamespace = errorx.NewNamespace("caller")
-
 	// ErrFailed is matched when a request ended without a whole answer.
-	ErrFailed = errorsNamespace.NewType("failed").NewWithNoMessage()
+	ErrFailed = fault.NewSentinel("caller", "failed")
 )
 
 // failure is an error with what the caller is told.
--- a/entry/caller/options.go
+++ b/entry/caller/options.go
@@ -37,10 +37,10 @@
 	parser.Description = "Takes callers' requests and sends them to targets."
 	parser.String(&file, "s", "settings", "JSON file with the settings")
 	if err := parser.ParseArgs(arguments); err != nil {
-		return Options{}, settings.ErrInvalid.Type().Wrap(err, "command line")
+		return Options{}, settings.ErrInvalid.Wrap(err, "command line")
 	}
 	if file == "" {
-		return Options{}, settings.ErrInvalid.Type().New("--settings FILE is needed")
+		return Options{}, settings.ErrInvalid.New("--settings FILE is needed")
 	}
 	var options Options
 	if err := settings.Read(file, &options); err != nil {
--- a/operate/desk/commands.go
+++ b/operate/desk/commands.go
@@ -87,7 +87,7 @@
 	case "explain":
 		return d.explain()
 	}
-	return ErrUsage.Type().New("command %q does not exist", d.options.command)
+	return ErrUsage.New("command %q does not exist", d.options.command)
 }
 
 func (d *desk) print(human string, value any) error {
@@ -313,7 +313,7 @@
 	}
 	centre, ok := p.Config().Inventory().DataCentres[d.options.name]
 	if !ok {
-		return ErrRejected.Type().New("data centre %q does not exist", d.options.name)
+		return ErrRejected.New("data centre %q does not exist", d.options.name)
 	}
 	if centre.Out == out {
 		return d.print("no change", map[string]string{"outcome": "noChange"})
--- a/operate/desk/options.go
+++ b/operate/desk/options.go
@@ -5,8 +5,9 @@
 	"os"
 	"os/user"
 
+	"chervilswitch.example/shared/fault"
+
 	"github.com/integrii/flaggy"
-	"github.com/joomcode/errorx"
 )
 
 // The exit codes.
@@ -20,7 +21,7 @@
 )
 
 // ErrUsage is matched by errors about the command line.
-var ErrUsage = errorx.NewNamespace("command").NewType("usage").NewWithNoMessage()
+var ErrUsage = fault.NewSentinel("command", "usage")
 
 // options are the checked command line.
 type options struct {
@@ -83,7 +84,7 @@
 		subcommands[command] = s
 	}
 	if err := parser.ParseArgs(arguments); err != nil {
-		return o, ErrUsage.Type().Wrap(err, "command line")
+		return o, ErrUsage.Wrap(err, "command line")
 	}
 	for _, command := range commandOrder {
 		if subcommands[command].Used {
@@ -97,13 +98,13 @@
 func (o *options) check(platformText string, entryTexts []string) error {
 	need, ok := commands[o.command]
 	if !ok {
-		return ErrUsage.Type().New("a command is needed; see chervil --help")
+		return ErrUsage.New("a command is needed; see chervil --help")
 	}
 	if need.name && o.name == "" {
-		return ErrUsage.Type().New("%s: a name is needed", o.command)
+		return ErrUsage.New("%s: a name is needed", o.command)
 	}
 	if need.file && o.file == "" {
-		return ErrUsage.Type().New("%s: a file is needed", o.command)
+		return ErrUsage.New("%s: a file is needed", o.command)
 	}
 	if platformText == "" {
 		platformText = os.Getenv("CHERVIL_PLATFORM")
@@ -111,19 +112,19 @@
 	if need.platform {
 		address, err := netip.ParseAddrPort(platformText)
 		if err != nil {
-			return ErrUsage.Type().New("--platform: %q is not an address with a port", platformText)
+			return ErrUsage.New("--platform: %q is not an address with a port", platformText)
 		}
 		o.platform = address
 	}
 	for _, text := range entryTexts {
 		address, err := netip.ParseAddrPort(text)
 		if err != nil {
-			return ErrUsage.Type().New("--entry: %q is not an address with a port", text)
+			return ErrUsage.New("--entry: %q is not an address with a port", text)
 		}
 		o.entries = append(o.entries, address)
 	}
 	if need.entries && len(o.entries) == 0 {
-		return ErrUsage.Type().New("%s: at least one --entry is needed", o.command)
+		return ErrUsage.New("%s: at least one --entry is needed", o.command)
 	}
 	if o.operator == "" {
 		o.operator = currentUser()
--- a/operate/desk/publisher.go
+++ b/operate/desk/publisher.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"chervilswitch.example/shared/control"
+	"chervilswitch.example/shared/fault"
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/platform"
 
 	"github.com/google/uuid"
-	"github.com/joomcode/errorx"
 )
 
 const (
@@ -24,14 +24,12 @@
 )
 
 var (
-	errorsNamespace = errorx.NewNamespace("desk")
-
 	// ErrConflict is matched when another change was first.
-	ErrConflict = errorsNamespace.NewType("conflict").NewWithNoMessage()
+	ErrConflict = fault.NewSentinel("desk", "conflict")
 	// ErrRejected is matched when the change's result is not a valid inventory.
-	ErrRejected = errorsNamespace.NewType("rejected").NewWithNoMessage()
+	ErrRejected = fault.NewSentinel("desk", "rejected")
 	// ErrUncertain is matched when it is not known whether the change is accepted.
-	ErrUncertain = errorsNamespace.NewType("uncertain").NewWithNoMessage()
+	ErrUncertain = fault.NewSentinel("desk", "uncertain")
 )
 
 // Publisher publishes changes through the platform's log.
@@ -67,10 +65,10 @@
 
 func (p *Publisher) whole(page platform.Page) error {
 	if p.config.Halted() {
-		return ErrRejected.Type().New("the log holds a record that this version does not understand")
+		return ErrRejected.New("the log holds a record that this version does not understand")
 	}
 	if !p.config.Ready() || p.config.Applied()+1 < page.Next {
-		return ErrUncertain.Type().New("the log's records do not add up to a whole state: it holds %d to %d", page.First, page.Next-1)
+		return ErrUncertain.New("the log's records do not add up to a whole state: it holds %d to %d", page.First, page.Next-1)
 	}
 	return nil
 }
@@ -114,7 +112,7 @@
 			return seen, outcomeError(seen)
 		}
 	}
-	return control.SeenChange{ID: record.ID}, ErrUncertain.Type().New("change %s was not read back within %s (last append: %v); it may still be accepted", record.ID, publishWithin, err)
+	return control.SeenChange{ID: record.ID}, ErrUncertain.New("change %s was not read back within %s (last append: %v); it may still be accepted", record.ID, publishWithin, err)
 }
 
 func (p *Publisher) readBack(ctx context.Context, id string) (control.SeenChange, bool) {
@@ -130,9 +128,9 @@
 func outcomeError(seen control.SeenChange) error {
 	switch seen.Outcome {
 	case control.ChangeConflict:
-		return ErrConflict.Type().New("someone changed %s after the state that this change was made from", seen.Detail)
+		return ErrConflict.New("someone changed %s after the state that this change was made from", seen.Detail)
 	case control.ChangeInvalid:
-		return ErrRejected.Type().New("%s", seen.Detail)
+		return ErrRejected.New("%s", seen.Detail)
 	case control.ChangeAccepted:
 		return nil
 	}
--- a/shared/control/gate_test.go
+++ b/shared/control/gate_test.go
@@ -203,3 +203,16 @@
 	c.Assert(e.state.LiveEntries(), qt.HasLen, 0)
 	c.Assert(operator.AddressKeep > 0, qt.IsTrue)
 }
+
+func TestKnowingOfNewerRecordsCloses(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	w.publish("out", centreEdit("a", true))
+	b := w.processes["desk-b"]
+	w.sync(b)
+	a := w.processes["desk-a"] // It hears that there is more, but the records are lost.
+	w.send(a, PeerAnswer{AskedAt: w.now, Beat: b.state.Beat(w.now)})
+	c.Assert(a.state.Gate(), qt.Equals, GateBehind)
+	c.Assert(w.submit(a, "r/1", "").Outcome, qt.Equals, OutcomeNotRun)
+}
--- a/shared/control/keys.go
+++ b/shared/control/keys.go
@@ -76,10 +76,10 @@
 func DecodeIntent(data []byte) (Intent, error) {
 	var intent Intent
 	if err := json.Unmarshal(data, &intent); err != nil {
-		return Intent{}, ErrRecord.Type().Wrap(err, "decode intent")
+		return Intent{}, ErrRecord.Wrap(err, "decode intent")
 	}
 	if intent.Format != RecordFormat {
-		return Intent{}, ErrRecord.Type().New("intent has format %d", intent.Format)
+		return Intent{}, ErrRecord.New("intent has format %d", intent.Format)
 	}
 	return intent, nil
 }
--- a/shared/control/rank_test.go
+++ b/shared/control/rank_test.go
@@ -222,3 +222,137 @@
 		}
 	})
 }
+
+func TestCrosswiseProposalsDoNotHoldEachOther(t *testing.T) {
+	c := qt.New(t)
+	g := newRankGroup()
+	g.form(1, 1, 7)
+	named := []uint64{1, 1, 1}
+	first := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 1}, Incarnations: named}
+	second := Proposal{Fencing: 1, Number: 3, Map: 9, At: Position{Generation: 1, Step: 1}, Incarnations: named}
+	g.ranks[0].ready[8], g.ranks[1].ready[9] = true, true
+	g.do(0, RankProposed{Proposal: first}) // Both coordinators die after one message.
+	g.do(1, RankProposed{Proposal: second})
+	for range 4 {
+		for rank := range g.ranks {
+			g.do(rank, RankReached{})
+			g.file(rank, g.ranks[rank].Tick())
+		}
+		g.deliverAll()
+	}
+	c.Assert(g.used[Position{Generation: 1, Step: 1}], qt.Equals, MapVersion(7))
+	c.Assert(g.ran[0].Step >= 1 && g.ran[1].Step >= 1, qt.IsTrue)
+}
+
+func TestRankPastTheStepRefuses(t *testing.T) {
+	c := qt.New(t)
+	g := newRankGroup()
+	g.form(1, 1, 7)
+	for range 3 {
+		g.do(2, RankReached{}) // Rank 2 runs ahead to step 3.
+	}
+	p := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 2}, Incarnations: []uint64{1, 1, 1}}
+	for rank := range g.ranks {
+		g.ranks[rank].ready[8] = true
+		g.propose(p, rank)
+	}
+	g.deliverAll()
+	for range 4 {
+		g.do(0, RankReached{})
+		g.do(1, RankReached{})
+	}
+	c.Assert(g.broken, qt.Equals, "")
+	c.Assert(g.used[Position{Generation: 1, Step: 2}], qt.Equals, MapVersion(7))
+}
+
+func TestVoteOfLaterIncarnationDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	g := newRankGroup()
+	g.form(1, 1, 7)
+	p := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 1}, Incarnations: []uint64{1, 1, 1}}
+	g.ranks[0].ready[8] = true
+	g.do(0, RankProposed{Proposal: p})
+	g.do(0, RankReached{})
+	g.do(0, RankVoted{Proposal: p.ID(), From: 1, Incarnation: 2, Vote: VoteRefused})
+	g.do(0, RankReached{})
+	_, ran := g.used[Position{Generation: 1, Step: 1}]
+	c.Assert(ran, qt.IsFalse)
+}
+
+// TestCompetingSwitchesUnderAdversary has no restarts: once the messages that
+// ranks send again are delivered, every rank must run on by itself.
+func TestCompetingSwitchesUnderAdversary(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newRankGroup()
+		g.form(1, 1, 1)
+		for rank := range g.ranks {
+			for version := range MapVersion(20) {
+				g.ranks[rank].ready[version] = rapid.IntRange(0, 5).Draw(t, "ready") > 0
+			}
+		}
+		number := uint64(1)
+		for range rapid.IntRange(10, 120).Draw(t, "events") {
+			rank := rapid.IntRange(0, testRanks-1).Draw(t, "rank")
+			switch action := rapid.IntRange(0, 9).Draw(t, "action"); {
+			case action < 3:
+				g.do(rank, RankReached{})
+			case action < 4 && number < 19:
+				number++
+				step := g.ranks[rank].Next().Step + uint64(rapid.IntRange(0, 2).Draw(t, "lead"))
+				p := Proposal{Fencing: 1, Number: number, Map: MapVersion(number), At: Position{Generation: 1, Step: step}, Incarnations: g.incarnations}
+				for to := range rapid.IntRange(1, testRanks).Draw(t, "heard") {
+					g.propose(p, (to+rank)%testRanks)
+				}
+			case len(g.network) > 0:
+				i := rapid.IntRange(0, len(g.network)-1).Draw(t, "message")
+				m := g.network[i]
+				g.network = append(g.network[:i:i], g.network[i+1:]...)
+				if action < 9 {
+					g.do(m.to, m.input)
+				}
+			}
+			if g.broken != "" {
+				t.Fatalf("%s: %v", g.broken, g.used)
+			}
+		}
+		g.network, g.fetching = nil, nil
+		rounds := g.ran[0].Step + g.ran[1].Step + g.ran[2].Step + 2*testSteps
+		for range rounds {
+			for rank := range g.ranks {
+				g.do(rank, RankReached{})
+				g.file(rank, g.ranks[rank].Tick())
+			}
+			g.deliverAll()
+		}
+		for rank, at := range g.ran {
+			if at.Step < testSteps {
+				t.Fatalf("rank %d stuck at %+v", rank, at)
+			}
+		}
+	})
+}
+
+func TestCompetingFormationsGiveOneMap(t *testing.T) {
+	c := qt.New(t)
+	g := newRankGroup()
+	g.form(1, 1, 7)
+	named := []uint64{1, 1, 1}
+	first := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 2}, Incarnations: named}
+	second := Proposal{Fencing: 1, Number: 3, Map: 9, At: Position{Generation: 2}, Incarnations: named}
+	for _, rank := range g.ranks {
+		rank.ready[8], rank.ready[9] = true, true
+	}
+	for rank, order := range [][]Proposal{{first, second}, {second, first}, {first, second}} {
+		g.do(rank, RankProposed{Proposal: order[0]})
+		g.do(rank, RankProposed{Proposal: order[1]})
+	}
+	g.deliverAll()
+	for range 2 {
+		for rank := range g.ranks {
+			g.do(rank, RankReached{})
+			g.file(rank, g.ranks[rank].Tick())
+		}
+		g.deliverAll()
+	}
+	c.Assert(g.broken, qt.Equals, "")
+}
--- a/shared/control/record.go
+++ b/shared/control/record.go
@@ -4,10 +4,9 @@
 	"encoding/json"
 	"fmt"
 
+	"chervilswitch.example/shared/fault"
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/platform"
-
-	"github.com/joomcode/errorx"
 )
 
 // RecordFormat is the version of the records that this binary understands.
@@ -87,27 +86,25 @@
 }
 
 var (
-	errorsNamespace = errorx.NewNamespace("control")
-
 	// ErrRecord is matched by errors about records that cannot be decoded.
-	ErrRecord = errorsNamespace.NewType("record").NewWithNoMessage()
+	ErrRecord = fault.NewSentinel("control", "record")
 )
 
 // DecodeRecord reads a record. Errors match ErrRecord.
 func DecodeRecord(data []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(data, &r); err != nil {
-		return Record{}, ErrRecord.Type().Wrap(err, "decode")
+		return Record{}, ErrRecord.Wrap(err, "decode")
 	}
 	if r.ID == "" {
-		return Record{}, ErrRecord.Type().New("record has no id")
+		return Record{}, ErrRecord.New("record has no id")
 	}
 	switch {
 	case r.Format != RecordFormat: // Only its format can be trusted.
 	case r.Kind == RecordSnapshot && r.Snapshot == nil, r.Kind == RecordClaim && r.Claim == nil:
-		return Record{}, ErrRecord.Type().New("record %q of kind %q lacks its content", r.ID, r.Kind)
+		return Record{}, ErrRecord.New("record %q of kind %q lacks its content", r.ID, r.Kind)
 	case r.Kind == RecordSnapshot && (r.Snapshot.Parts < 1 || r.Snapshot.Part < 0 || r.Snapshot.Part >= r.Snapshot.Parts):
-		return Record{}, ErrRecord.Type().New("record %q is part %d of %d", r.ID, r.Snapshot.Part, r.Snapshot.Parts)
+		return Record{}, ErrRecord.New("record %q is part %d of %d", r.ID, r.Snapshot.Part, r.Snapshot.Parts)
 	}
 	return r, nil
 }
--- a/shared/operator/change.go
+++ b/shared/operator/change.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"github.com/joomcode/errorx"
+	"chervilswitch.example/shared/fault"
 )
 
 // Collection names one of the inventory's maps.
@@ -26,13 +26,11 @@
 var Collections = []Collection{DataCentres, Services, Groups, Instances, Organisations}
 
 var (
-	errorsNamespace = errorx.NewNamespace("operator")
-
 	// ErrInvalid is matched by every error about the content of an inventory or change.
-	ErrInvalid = errorsNamespace.NewType("invalid").NewWithNoMessage()
+	ErrInvalid = fault.NewSentinel("operator", "invalid")
 )
 
-var invalid = ErrInvalid.Type()
+var invalid = ErrInvalid
 
 // Key names one object of the inventory.
 type Key struct {
--- a/shared/peer/link.go
+++ b/shared/peer/link.go
@@ -10,8 +10,9 @@
 	"net/netip"
 	"time"
 
+	"chervilswitch.example/shared/fault"
+
 	"github.com/hashicorp/yamux"
-	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 )
@@ -27,10 +28,8 @@
 )
 
 var (
-	errorsNamespace = errorx.NewNamespace("peer")
-
 	// ErrLink is matched when a link or stream to another process broke.
-	ErrLink = errorsNamespace.NewType("link").NewWithNoMessage()
+	ErrLink = fault.NewSentinel("peer", "link")
 )
 
 // Stream is one exchange of messages over a link.
@@ -47,10 +46,10 @@
 // Send writes one message. Errors match ErrLink.
 func (s *Stream) Send(m proto.Message) error {
 	if err := s.stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return ErrLink.Type().Wrap(err, "set a deadline")
+		return ErrLink.Wrap(err, "set a deadline")
 	}
 	if _, err := protodelim.MarshalTo(s.stream, m); err != nil {
-		return ErrLink.Type().Wrap(err, "send")
+		return ErrLink.Wrap(err, "send")
 	}
 	return nil
 }
@@ -59,7 +58,7 @@
 func (s *Stream) Receive(m proto.Message) error {
 	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
 	if err := options.UnmarshalFrom(s.reader, m); err != nil {
-		return ErrLink.Type().Wrap(err, "receive")
+		return ErrLink.Wrap(err, "receive")
 	}
 	return nil
 }
@@ -67,7 +66,7 @@
 // ReceiveBefore reads one message, with a limit on the time it takes.
 func (s *Stream) ReceiveBefore(m proto.Message, timeout time.Duration) error {
 	if err := s.stream.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return ErrLink.Type().Wrap(err, "set a deadline")
+		return ErrLink.Wrap(err, "set a deadline")
 	}
 	defer func() { _ = s.stream.SetReadDeadline(time.Time{}) }()
 	return s.Receive(m)
@@ -92,11 +91,11 @@
 	defer cancel()
 	conn, err := dialConn(ctx, address, config)
 	if err != nil {
-		return nil, ErrLink.Type().Wrap(err, "dial %s", address)
+		return nil, ErrLink.Wrap(err, "dial %s", address)
 	}
 	session, err := yamux.Client(conn, sessionConfig())
 	if err != nil {
-		return nil, ErrLink.Type().Wrap(err, "open a session")
+		return nil, ErrLink.Wrap(err, "open a session")
 	}
 	return &Link{session: session}, nil
 }
@@ -112,7 +111,7 @@
 func (l *Link) Open(first *Open) (*Stream, error) {
 	conn, err := l.session.Open()
 	if err != nil {
-		return nil, ErrLink.Type().Wrap(err, "open a stream")
+		return nil, ErrLink.Wrap(err, "open a stream")
 	}
 	s := NewStream(conn)
 	if err := s.Send(first); err != nil {
--- a/shared/platform/client.go
+++ b/shared/platform/client.go
@@ -77,21 +77,21 @@
 	}
 	response, err := c.httpClient.Do(request)
 	if err != nil {
-		return ErrUnavailable.Type().Wrap(err, "%s %s", method, address)
+		return ErrUnavailable.Wrap(err, "%s %s", method, address)
 	}
 	defer response.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return ErrUnavailable.Type().Wrap(err, "read the answer")
+		return ErrUnavailable.Wrap(err, "read the answer")
 	}
 	switch {
 	case response.StatusCode == http.StatusTooManyRequests:
-		return ErrRateLimited.Type().New("%s", bytes.TrimSpace(raw))
+		return ErrRateLimited.New("%s", bytes.TrimSpace(raw))
 	case response.StatusCode != http.StatusOK:
-		return ErrUnavailable.Type().New("status %d: %s", response.StatusCode, bytes.TrimSpace(raw))
+		return ErrUnavailable.New("status %d: %s", response.StatusCode, bytes.TrimSpace(raw))
 	}
 	if err := json.Unmarshal(raw, answer); err != nil {
-		return ErrUnavailable.Type().Wrap(err, "decode the answer")
+		return ErrUnavailable.Wrap(err, "decode the answer")
 	}
 	return nil
 }
--- a/shared/platform/record.go
+++ b/shared/platform/record.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/joomcode/errorx"
+	"chervilswitch.example/shared/fault"
 )
 
 // Offset is a position in one stream of the log. Offsets start at 1 and are
@@ -45,11 +45,9 @@
 }
 
 var (
-	errorsNamespace = errorx.NewNamespace("platform")
-
 	// ErrUnavailable is matched when the platform gave no usable answer. An
 	// append that failed so may still have taken effect.
-	ErrUnavailable = errorsNamespace.NewType("unavailable").NewWithNoMessage()
+	ErrUnavailable = fault.NewSentinel("platform", "unavailable")
 	// ErrRateLimited is matched when the platform refused before acting.
-	ErrRateLimited = errorsNamespace.NewType("rateLimited").NewWithNoMessage()
+	ErrRateLimited = fault.NewSentinel("platform", "rateLimited")
 )
--- a/shared/settings/settings.go
+++ b/shared/settings/settings.go
@@ -13,14 +13,12 @@
 	"strings"
 	"time"
 
-	"github.com/joomcode/errorx"
+	"chervilswitch.example/shared/fault"
 )
 
 var (
-	errorsNamespace = errorx.NewNamespace("settings")
-
 	// ErrInvalid is matched by every error about settings.
-	ErrInvalid = errorsNamespace.NewType("invalid").NewWithNoMessage()
+	ErrInvalid = fault.NewSentinel("settings", "invalid")
 )
 
 const (
@@ -85,19 +83,19 @@
 	if len(f.faults) == 0 {
 		return nil
 	}
-	return ErrInvalid.Type().Wrap(errors.Join(f.faults...), "%s", file)
+	return ErrInvalid.Wrap(errors.Join(f.faults...), "%s", file)
 }
 
 // Read decodes a file strictly into a struct. Errors match ErrInvalid.
 func Read(file string, into any) error {
 	handle, err := os.Open(file)
 	if err != nil {
-		return ErrInvalid.Type().Wrap(err, "open settings")
+		return ErrInvalid.Wrap(err, "open settings")
 	}
 	defer handle.Close()
 	raw, err := io.ReadAll(io.LimitReader(handle, maxFileBytes))
 	if err != nil {
-		return ErrInvalid.Type().Wrap(err, "read settings")
+		return ErrInvalid.Wrap(err, "read settings")
 	}
 	return Decode(file, raw, into)
 }
@@ -107,10 +105,10 @@
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return ErrInvalid.Type().New("%s: %s", file, describe(raw, decoder.InputOffset(), err))
+		return ErrInvalid.New("%s: %s", file, describe(raw, decoder.InputOffset(), err))
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return ErrInvalid.Type().New("%s: content after the settings", file)
+		return ErrInvalid.New("%s: content after the settings", file)
 	}
 	return nil
 }
--- a/shared/settings/tls.go
+++ b/shared/settings/tls.go
@@ -50,18 +50,18 @@
 func (t *TLS) load() (*reloader, *x509.CertPool, error) {
 	r := &reloader{files: *t}
 	if _, err := r.get(); err != nil {
-		return nil, nil, ErrInvalid.Type().Wrap(err, "certificate")
+		return nil, nil, ErrInvalid.Wrap(err, "certificate")
 	}
 	if t.Authorities == "" {
 		return r, nil, nil
 	}
 	raw, err := os.ReadFile(t.Authorities)
 	if err != nil {
-		return nil, nil, ErrInvalid.Type().Wrap(err, "authorities")
+		return nil, nil, ErrInvalid.Wrap(err, "authorities")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(raw) {
-		return nil, nil, ErrInvalid.Type().New("%s holds no certificate", t.Authorities)
+		return nil, nil, ErrInvalid.New("%s holds no certificate", t.Authorities)
 	}
 	return r, pool, nil
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -87,6 +87,13 @@
 	return e.counts
 }
 
+// Running is the number of requests at work.
+func (e *Engine) Running() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.running)
+}
+
 // Restart drops all work and caches and begins a cold start.
 func (e *Engine) Restart() {
 	e.mutex.Lock()
