--- a/entry/caller/exchange.go
+++ b/entry/caller/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,6 +23,9 @@
 )
 
 var (
+	// errNotSent means that there was no link, so that nothing was written.
+	errNotSent = fault.NewSentinel("caller", "notSent")
+
 	// ErrFailed is matched when a request ended without a whole answer.
 	ErrFailed = fault.NewSentinel("caller", "failed")
 )
@@ -64,12 +68,14 @@
 	answers chan tagged
 	sink    sink
 
-	stream   int
-	cancel   context.CancelFunc
-	attempt  control.AttemptID
-	place    where
-	headSent bool
-	trailer  http.Header
+	stream int
+	// attaching means that the stream asks after an attempt that was sent before.
+	attaching bool
+	cancel    context.CancelFunc
+	attempt   control.AttemptID
+	place     where
+	headSent  bool
+	trailer   http.Header
 }
 
 // tagged is an answer with the stream that it came from.
@@ -183,6 +189,7 @@
 	}
 	x.stream++
 	x.attempt = attempt
+	x.attaching = first.GetAttach() != nil
 	streamContext, cancel := context.WithCancel(ctx)
 	x.cancel = cancel
 	go x.read(streamContext, x.stream, target, first)
@@ -200,7 +207,7 @@
 	}
 	link, ok := x.entry.node.Link(target)
 	if !ok {
-		tell(nil, peer.ErrLink)
+		tell(nil, errNotSent)
 		return
 	}
 	s, err := link.Open(first)
@@ -257,6 +264,13 @@
 	if t.stream != x.stream {
 		return false, nil
 	}
+	if errors.Is(t.err, errNotSent) && !x.attaching {
+		x.entry.node.Send(control.AttemptAnswered{
+			Request: x.request.ID, Attempt: x.attempt,
+			Verdict: control.Verdict{Outcome: control.OutcomeNotRun, Code: control.CodeLinkLost},
+		})
+		return false, nil
+	}
 	if t.err != nil {
 		x.entry.node.Send(control.AttemptLost{Request: x.request.ID, Attempt: x.attempt})
 		return false, nil
