Plan expert maps that pay, and ask fewer peers more rarely

Cause: (1) no policy for expert maps.

Change: (1) Planner forecasts a layer's tokens by the better of two guesses, improves the placement by single experts as long as the ranks even out, and spends bytes as far as past savings came true. (2) Sources of news are asked every 500 ms, other peers every second; of a service with more than 16 targets an entry uses 8; 8 entries of a data centre read the log.

--- /dev/null
+++ b/measure/skew.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"chervilswitch.example/shared/control"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	windows        = 240
+	stepsPerWindow = 100
+	redundancy     = 0.125
+	tokensPerStep  = 8192
+	zipfExponent   = 0.8
+	drift          = 0.03
+	suddenChange   = 0.02
+	stragglerSpeed = 1 / 1.5
+	expertBytes    = 44e6
+	// storeBytesPerStep is 2 GB/s in steps of 59 ms.
+	storeBytesPerStep = 2e9 * 0.059
+	horizonSteps      = 30 * stepsPerWindow
+)
+
+// skewCase is one trace with its group.
+type skewCase struct {
+	name      string
+	ranks     int
+	experts   int
+	straggler bool
+	// flat traces have equal popularity; wild ones change all of it each window.
+	flat, wild bool
+}
+
+var skewCases = []skewCase{
+	{name: "8 ranks, 64 experts", ranks: 8, experts: 64},
+	{name: "8 ranks, 64 experts, straggler", ranks: 8, experts: 64, straggler: true},
+	{name: "32 ranks, 256 experts", ranks: 32, experts: 256},
+	{name: "32 ranks, 256 experts, straggler", ranks: 32, experts: 256, straggler: true},
+	{name: "flat, 8 ranks", ranks: 8, experts: 64, flat: true},
+	{name: "wild, 8 ranks", ranks: 8, experts: 64, wild: true},
+}
+
+// The placement policies that are compared.
+const (
+	policyStatic = "static"
+	policyFresh  = "fullPlan"
+	policyOurs   = "ours"
+)
+
+// skewFigures are one policy's figures on one trace.
+type skewFigures struct {
+	P50              spread `json:"p50"`
+	P95              spread `json:"p95"`
+	P99              spread `json:"p99"`
+	OverBound        spread `json:"timeOverLowerBoundP95"`
+	BytesMoved       spread `json:"bytesMoved"`
+	SwitchPauseSteps int    `json:"switchPauseSteps"`
+	PlanMicros       spread `json:"planMicros"`
+}
+
+func (s skewCase) slots() int {
+	return int(math.Ceil(float64(s.experts) * (1 + redundancy) / float64(s.ranks)))
+}
+
+func (s skewCase) speeds() []float64 {
+	speeds := make([]float64, s.ranks)
+	for i := range speeds {
+		speeds[i] = 1
+	}
+	if s.straggler {
+		speeds[s.ranks/2] = stragglerSpeed
+	}
+	return speeds
+}
+
+// trace is the popularity of each expert in each window.
+func (s skewCase) trace(seed uint64) [][]float64 {
+	random := rand.New(rand.NewPCG(seed, 1))
+	order := random.Perm(s.experts)
+	walk := make([]float64, s.experts)
+	all := make([][]float64, windows)
+	for w := range all {
+		if s.wild || random.Float64() < suddenChange {
+			s.shuffle(order, random)
+		}
+		all[w] = s.window(order, walk, w, random)
+	}
+	return all
+}
+
+// shuffle swaps a tenth of the experts' ranks in popularity, or all if wild.
+func (s skewCase) shuffle(order []int, random *rand.Rand) {
+	swaps := s.experts / 10
+	if s.wild {
+		swaps = s.experts
+	}
+	for range swaps {
+		i, j := random.IntN(s.experts), random.IntN(s.experts)
+		order[i], order[j] = order[j], order[i]
+	}
+}
+
+func (s skewCase) window(order []int, walk []float64, w int, random *rand.Rand) []float64 {
+	weights := make([]float64, s.experts)
+	sum := 0.0
+	for i := range weights {
+		walk[i] += drift * random.NormFloat64()
+		walk[i] *= 0.99
+		hour := 0.2 * math.Sin(2*math.Pi*(float64(w)/48+float64(i)/float64(s.experts)))
+		weights[i] = math.Exp(walk[i] + hour)
+		if !s.flat {
+			weights[i] *= math.Pow(1+float64(order[i]), -zipfExponent)
+		}
+		sum += weights[i]
+	}
+	for i := range weights {
+		weights[i] *= tokensPerStep / sum
+	}
+	return weights
+}
+
+// planner follows one policy through a trace.
+type planner struct {
+	policy    string
+	group     skewCase
+	placement control.Placement
+	ours      control.Planner
+	moved     int
+	planTime  []float64
+}
+
+// plan gives the shares to use in the next window.
+func (p *planner) plan(observed []float64) *control.Split {
+	speeds := p.group.speeds()
+	demand := control.Demand{Tokens: observed, Speed: speeds}
+	started := time.Now()
+	next := p.placement
+	switch p.policy {
+	case policyFresh:
+		next = control.FreshPlacement(p.group.ranks, p.group.slots(), demand)
+	case policyOurs:
+		split := p.ours.Plan(observed, speeds, control.Payback{ExpertBytes: expertBytes, BytesPerStep: storeBytesPerStep, Steps: horizonSteps, WindowSteps: stepsPerWindow})
+		p.planTime = append(p.planTime, float64(time.Since(started).Microseconds()))
+		p.moved += p.ours.Placement.Moved(p.placement)
+		p.placement = p.ours.Placement
+		return split
+	}
+	p.moved += next.Moved(p.placement)
+	p.placement = next
+	split := control.NewSplit(next, demand)
+	p.planTime = append(p.planTime, float64(time.Since(started).Microseconds()))
+	return split
+}
+
+// follow runs a policy over a trace and returns the skew and the time over the
+// lower bound in each window.
+func (p *planner) follow(trace [][]float64) (skews, over []float64) {
+	p.ours.Placement = p.placement
+	split := control.NewEvenSplit(p.placement, control.Demand{Tokens: trace[0], Speed: p.group.speeds()})
+	for w := 1; w < len(trace); w++ {
+		if p.policy != policyStatic {
+			split = p.plan(trace[w-1])
+		}
+		demand := control.Demand{Tokens: trace[w], Speed: p.group.speeds()}
+		actual := split.Serve(demand)
+		skews = append(skews, actual.Skew())
+		over = append(over, actual.Slowest()/demand.LowerBound())
+	}
+	return skews, over
+}
+
+func (s skewCase) run(policy string) skewFigures {
+	var p50, p95, p99, over, bytes, micros []float64
+	for seed := range uint64(seeds) {
+		p := &planner{policy: policy, group: s, placement: control.NewPlacement(s.ranks, s.experts, s.slots())}
+		skews, overBound := p.follow(s.trace(seed))
+		p50 = append(p50, quantile(skews, 0.5))
+		p95 = append(p95, quantile(skews, 0.95))
+		p99 = append(p99, quantile(skews, 0.99))
+		over = append(over, quantile(overBound, 0.95))
+		bytes = append(bytes, float64(p.moved)*expertBytes)
+		micros = append(micros, quantile(p.planTime, 0.5))
+	}
+	return skewFigures{
+		P50: newSpread(p50), P95: newSpread(p95), P99: newSpread(p99), OverBound: newSpread(over),
+		BytesMoved: newSpread(bytes), PlanMicros: newSpread(micros), SwitchPauseSteps: switchPause(s.ranks),
+	}
+}
+
+// switchPause counts the steps that ranks hold in a switch whose messages take
+// less than a step and whose weights are ready: the usual case.
+func switchPause(ranks int) int {
+	group := make([]*control.Rank, ranks)
+	incarnations := make([]uint64, ranks)
+	for i := range group {
+		incarnations[i] = 1
+		group[i] = control.NewRank(i, 1)
+	}
+	held := 0
+	deliver := func(from int, outputs []control.RankOutput) []func() []control.RankOutput {
+		var later []func() []control.RankOutput
+		for _, o := range outputs {
+			switch o := o.(type) {
+			case control.RankTell:
+				later = append(later, func() []control.RankOutput { return group[o.To].Reduce(o.Vote) })
+			case control.RankAsk:
+				later = append(later, func() []control.RankOutput {
+					return group[o.To].Reduce(control.RankAsked{Proposal: o.Proposal, From: from})
+				})
+			case control.RankHold:
+				held++
+			}
+		}
+		return later
+	}
+	propose := func(p control.Proposal) {
+		var queue []func() []control.RankOutput
+		for i := range group {
+			group[i].Reduce(control.RankFetched{Map: p.Map})
+			queue = append(queue, deliver(i, group[i].Reduce(control.RankProposed{Proposal: p}))...)
+		}
+		for len(queue) > 0 {
+			next := queue[0]
+			queue = append(queue[1:], deliver(0, next())...)
+		}
+	}
+	propose(control.Proposal{Fencing: 1, Number: 1, Map: 1, At: control.Position{Generation: 1}, Incarnations: incarnations})
+	for step := range uint64(20) {
+		if step == 5 {
+			propose(control.Proposal{Fencing: 1, Number: 2, Map: 2, At: control.Position{Generation: 1, Step: 8}, Incarnations: incarnations})
+		}
+		for i := range group {
+			deliver(i, group[i].Reduce(control.RankReached{}))
+		}
+	}
+	return held
+}
+
+func measureSkew() result {
+	t := newTable("trace", "policy", "skew p50", "skew p95", "skew p99", "time over bound p95", "GB moved", "steps held", "plan us")
+	figures := make(map[string]map[string]skewFigures)
+	for _, s := range skewCases {
+		figures[s.name] = make(map[string]skewFigures)
+		for _, policy := range []string{policyStatic, policyFresh, policyOurs} {
+			f := s.run(policy)
+			figures[s.name][policy] = f
+			gigabytes := spread{Median: f.BytesMoved.Median / 1e9, Least: f.BytesMoved.Least / 1e9, Most: f.BytesMoved.Most / 1e9}
+			t.add(s.name, policy, f.P50, f.P95, f.P99, f.OverBound, gigabytes, f.SwitchPauseSteps, f.PlanMicros)
+		}
+	}
+	return result{
+		name: "Step-time skew and the cost of rebalancing", figures: figures, table: t,
+		notes: []string{fmt.Sprintf(
+			"%d windows of %d steps, %d seeds; popularity Zipf %.1f with drift, an hourly swing and sudden changes; %.1f%% redundant slots; one expert is %.0f MB. Skew is the slowest over the mean rank time of a window whose plan was made from the windows before. The bound spreads all tokens over all speeds, which no placement beats.",
+			windows, stepsPerWindow, seeds, zipfExponent, 100*redundancy, expertBytes/1e6)},
+		plot: func(file string) error { return plotSkew(file) },
+	}
+}
+
+// plotSkew draws each policy's skew over time on one trace.
+func plotSkew(file string) error {
+	s := skewCases[2]
+	p := plot.New()
+	p.Title.Text = "Slowest over mean rank time, " + s.name
+	p.X.Label.Text = "window"
+	p.Y.Label.Text = "skew"
+	var lines []any
+	for _, policy := range []string{policyStatic, policyFresh, policyOurs} {
+		run := &planner{policy: policy, group: s, placement: control.NewPlacement(s.ranks, s.experts, s.slots())}
+		skews, _ := run.follow(s.trace(0))
+		points := make(plotter.XYs, len(skews))
+		for i, skew := range skews {
+			points[i] = plotter.XY{X: float64(i), Y: skew}
+		}
+		lines = append(lines, policy, points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(8*vg.Inch, 4*vg.Inch, file)
+}
--- a/shared/control/choice.go
+++ b/shared/control/choice.go
@@ -53,14 +53,15 @@
 // free reports whether the target may be sent another attempt.
 func (c *Candidate) free() bool { return c.Usable && c.Sent < c.Allowed }
 
-// prefixTable remembers which candidate last served a prefix. Newer prefixes
+// PrefixTable remembers which candidate last served a prefix. Newer prefixes
 // overwrite older ones in the same slot, as a target's own cache does.
-type prefixTable struct {
+type PrefixTable struct {
 	prefixes [prefixSlots]uint64
 	targets  [prefixSlots]int32
 }
 
-func (p *prefixTable) find(prefix uint64) (int, bool) {
+// Find gives the candidate that last served a prefix.
+func (p *PrefixTable) Find(prefix uint64) (int, bool) {
 	slot := prefix % prefixSlots
 	if prefix == 0 || p.prefixes[slot] != prefix {
 		return 0, false
@@ -68,30 +69,31 @@
 	return int(p.targets[slot]), true
 }
 
-func (p *prefixTable) keep(prefix uint64, target int) {
+// Keep notes that a candidate serves a prefix.
+func (p *PrefixTable) Keep(prefix uint64, target int) {
 	if prefix != 0 {
 		p.prefixes[prefix%prefixSlots] = prefix
 		p.targets[prefix%prefixSlots] = int32(target)
 	}
 }
 
-// choice is the outcome of weighing candidates; target is -1 if none is free.
-type choice struct {
-	target  int
-	reason  string
+// Choice is the outcome of weighing candidates; Target is -1 if none is free.
+type Choice struct {
+	Target  int
+	Reason  string
 	weighed [sampledTargets + 1]int
 	count   int
 }
 
-// choose weighs the target that last served the prefix against a few sampled
+// Choose weighs the target that last served the prefix against a few sampled
 // by hashing. The cost does not grow with the number of candidates as long as
 // samples are free; if none is, it looks at each candidate once.
 //
 // Worked example: the cached target scores 0.30 s halved to 0.15 s, the best
 // sample 0.12 s. The sample wins, so that a hot prefix cannot pile up on one
 // target; at 0.20 s the cached target would have kept it.
-func choose(candidates []Candidate, seed uint64, cached int, exclude uint64) choice {
-	best := choice{target: -1}
+func Choose(candidates []Candidate, seed uint64, cached int, exclude uint64) Choice {
+	best := Choice{Target: -1}
 	bestScore := 0.0
 	consider := func(i int, factor float64, reason string) {
 		if !candidates[i].free() || excluded(exclude, i) {
@@ -102,8 +104,8 @@
 			best.count++
 		}
 		score := candidates[i].Score() * factor
-		if best.target < 0 || score < bestScore {
-			best.target, bestScore, best.reason = i, score, reason
+		if best.Target < 0 || score < bestScore {
+			best.Target, bestScore, best.Reason = i, score, reason
 		}
 	}
 	if len(candidates) == 0 {
@@ -116,13 +118,13 @@
 		seed = mix(seed)
 		consider(int(seed%uint64(len(candidates))), 1, "leastWait")
 	}
-	if best.target >= 0 {
+	if best.Target >= 0 {
 		return best
 	}
 	start := int(seed % uint64(len(candidates)))
 	for i := range candidates {
 		consider((start+i)%len(candidates), 1, "onlyFree")
-		if best.target >= 0 {
+		if best.Target >= 0 {
 			break
 		}
 	}
--- a/shared/control/entry.go
+++ b/shared/control/entry.go
@@ -23,8 +23,6 @@
 	verdictTimeout = 3 * time.Second
 	// targetTimeout is when a target that gave no sign is not chosen any more.
 	targetTimeout = 2 * time.Second
-	// subsetTargets is how many targets of a service one entry uses.
-	subsetTargets = 32
 	// retryAdvice is what callers are told to wait after a refusal.
 	retryAdvice = time.Second
 )
@@ -62,7 +60,7 @@
 	incarnate  []uint64
 	reportedAt []time.Time
 	index      map[string]int
-	prefixes   prefixTable
+	prefixes   PrefixTable
 	queue      fairQueue
 }
 
@@ -169,23 +167,23 @@
 func (s *entryState) place(st *State, p *pool, r *request) bool {
 	s.markUsable(st, p)
 	cached := -1
-	if i, ok := p.prefixes.find(r.Prefix); ok {
+	if i, ok := p.prefixes.Find(r.Prefix); ok {
 		cached = i
 	}
 	if r.Key != "" {
 		cached = s.keyHome(p, r.Organisation+"/"+r.Key)
 	}
-	chosen := choose(p.candidates, xxhash.Sum64String(string(r.ID))+uint64(r.tries), cached, r.exclude)
-	if chosen.target < 0 {
+	chosen := Choose(p.candidates, xxhash.Sum64String(string(r.ID))+uint64(r.tries), cached, r.exclude)
+	if chosen.Target < 0 {
 		return false
 	}
-	p.prefixes.keep(r.Prefix, chosen.target)
+	p.prefixes.Keep(r.Prefix, chosen.Target)
 	weighed := make([]Weighed, 0, chosen.count)
 	for _, i := range chosen.weighed[:chosen.count] {
 		weighed = append(weighed, Weighed{Name: p.candidates[i].Name, Score: p.candidates[i].Score()})
 	}
-	st.emit(Decided{Code: DecisionTarget, Request: r.ID, Chosen: p.candidates[chosen.target].Name, Reason: chosen.reason, Weighed: weighed})
-	s.send(st, p, r, chosen.target)
+	st.emit(Decided{Code: DecisionTarget, Request: r.ID, Chosen: p.candidates[chosen.Target].Name, Reason: chosen.Reason, Weighed: weighed})
+	s.send(st, p, r, chosen.Target)
 	return true
 }
 
@@ -468,6 +466,9 @@
 
 // subset picks the targets that this entry uses, by rendezvous hashing.
 func subset(entry string, names []string) []string {
+	if len(names) <= wholeService {
+		return names
+	}
 	names = nearest(entry, names, subsetTargets)
 	slices.Sort(names)
 	return names
--- a/shared/control/entry_test.go
+++ b/shared/control/entry_test.go
@@ -136,11 +136,11 @@
 		{Name: "cached", Limit: 8, Running: 8, Allowed: 4, FirstOutput: time.Second, Usable: true, Near: true},
 		{Name: "idle", Limit: 8, Allowed: 4, FirstOutput: 100 * time.Millisecond, Usable: true, Near: true},
 	}
-	c.Assert(choose(candidates, 1, 0, 0).target, qt.Equals, 1)
+	c.Assert(Choose(candidates, 1, 0, 0).Target, qt.Equals, 1)
 	candidates[0].Running, candidates[0].FirstOutput = 0, 100*time.Millisecond
-	c.Assert(choose(candidates, 1, 0, 0).reason, qt.Equals, "cachedPrefix")
+	c.Assert(Choose(candidates, 1, 0, 0).Reason, qt.Equals, "cachedPrefix")
 	candidates[1].Allowed = 0
-	c.Assert(choose(candidates, 1, -1, 1).target, qt.Equals, -1, qt.Commentf("the only free target was excluded"))
+	c.Assert(Choose(candidates, 1, -1, 1).Target, qt.Equals, -1, qt.Commentf("the only free target was excluded"))
 }
 
 func BenchmarkChoose(b *testing.B) {
@@ -152,7 +152,7 @@
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				choose(candidates, uint64(i), i%count, 0)
+				Choose(candidates, uint64(i), i%count, 0)
 			}
 		})
 	}
--- a/shared/control/peers.go
+++ b/shared/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"chervilswitch.example/shared/operator"
 )
@@ -9,52 +10,69 @@
 const (
 	// readersPerDataCentre is how many entries of a data centre read the log;
 	// the others hear of it from them.
-	readersPerDataCentre = 4
-	// askedEntries is how many entries an agent asks in its own data centre.
-	askedEntries = 2
+	readersPerDataCentre = 8
+	// sourcesAsked is how many processes of its own data centre one asks for news.
+	sourcesAsked = 2
+	// wholeService is the most targets of a service that every entry uses; of a
+	// larger service an entry uses subsetTargets.
+	wholeService  = 16
+	subsetTargets = 8
 )
 
+// Peer is a process to ask for its state. A source is asked more often, since
+// news of the log comes through it.
+type Peer struct {
+	Name   string
+	Source bool
+}
+
 // Readers lists the entries of a data centre that read the log themselves.
 func Readers(inventory *operator.Inventory, dataCentre string) []string {
-	var names []string
-	for name, instance := range inventory.Instances {
-		if instance.Role == operator.RoleEntry && instance.DataCentre == dataCentre {
-			names = append(names, name)
-		}
-	}
-	return nearest("reader/"+dataCentre, names, readersPerDataCentre)
+	return nearest("reader/"+dataCentre, entriesIn(inventory, dataCentre), readersPerDataCentre)
 }
 
-// Peers lists the instances that a process asks for their state: an entry asks
-// the readers of its own data centre, one of each other, and its targets; an
-// agent asks entries of each data centre and the agents of its group.
-func Peers(inventory *operator.Inventory, self Identity) []string {
-	var peers []string
+// Peers lists the instances that a process asks for their state. Its sources are
+// readers of its own data centre for an entry, and entries for an agent. To know
+// whether it is in touch it asks one entry of each other data centre. An entry
+// also asks its targets, an agent the others of its group.
+func Peers(inventory *operator.Inventory, self Identity) []Peer {
+	var sources, others []string
 	for _, dataCentre := range sortedKeys(inventory.DataCentres) {
-		count := 1
-		if dataCentre == self.DataCentre {
-			count = readersPerDataCentre
-			if self.Role == operator.RoleAgent {
-				count = askedEntries
-			}
+		if dataCentre != self.DataCentre {
+			others = append(others, nearest(self.Instance, entriesIn(inventory, dataCentre), 1)...)
+			continue
+		}
+		near := entriesIn(inventory, dataCentre)
+		if self.Role == operator.RoleEntry {
+			near = Readers(inventory, dataCentre)
 		}
-		peers = append(peers, nearest(self.Instance, entriesIn(inventory, self, dataCentre), count)...)
+		near = slices.DeleteFunc(near, func(name string) bool { return name == self.Instance })
+		sources = nearest(self.Instance, near, sourcesAsked)
+	}
+	if len(sources) == 0 {
+		sources, others = others, nil // No other process of its data centre can tell it news.
 	}
 	if self.Role == operator.RoleEntry {
-		peers = append(peers, targetsOf(inventory, self)...)
+		others = append(others, targetsOf(inventory, self)...)
 	} else {
-		peers = append(peers, groupOf(inventory, self)...)
+		others = append(others, groupOf(inventory, self)...)
 	}
-	slices.Sort(peers)
-	peers = slices.Compact(peers)
-	return slices.DeleteFunc(peers, func(name string) bool { return name == self.Instance })
+	return joinPeers(self, sources, others)
 }
 
-// entriesIn lists readers for entries, and every entry for agents.
-func entriesIn(inventory *operator.Inventory, self Identity, dataCentre string) []string {
-	if self.Role == operator.RoleEntry {
-		return Readers(inventory, dataCentre)
+func joinPeers(self Identity, sources, others []string) []Peer {
+	peers := make([]Peer, 0, len(sources)+len(others))
+	for _, name := range append(slices.Clone(sources), others...) {
+		known := func(p Peer) bool { return p.Name == name }
+		if name != self.Instance && !slices.ContainsFunc(peers, known) {
+			peers = append(peers, Peer{Name: name, Source: slices.Contains(sources, name)})
+		}
 	}
+	slices.SortFunc(peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	return peers
+}
+
+func entriesIn(inventory *operator.Inventory, dataCentre string) []string {
 	var names []string
 	for name, instance := range inventory.Instances {
 		if instance.Role == operator.RoleEntry && instance.DataCentre == dataCentre {
--- /dev/null
+++ b/shared/control/planner.go
@@ -0,0 +1,109 @@
+package control
+
+import "math"
+
+const (
+	// smoothing is the weight of a new window in the smoothed tokens.
+	smoothing = 0.5
+	// learning is the weight of a new window in what is known of forecasts.
+	learning = 0.3
+	// trusting is the weight of a new window in what is known of past savings,
+	// which differ more from window to window.
+	trusting = 0.1
+)
+
+// Planner plans one layer's placement window by window. It forecasts the next
+// window, and spends bytes only as far as its earlier forecasts came true. Set
+// Placement; all else may be zero.
+type Planner struct {
+	Placement Placement
+
+	last     []float64
+	smoothed []float64
+	// lastError and smoothError are how far each forecast was off, as a part of
+	// all tokens.
+	lastError   float64
+	smoothError float64
+	// trust is the part of the savings forecast that came, or would have come.
+	// It starts at zero: nothing moves until forecasts have proved themselves.
+	trust float64
+	trial trial
+}
+
+// trial is the newest plan, adopted or not, to be judged by the next window.
+type trial struct {
+	before, after *Split
+	expected      float64
+}
+
+// Plan takes the tokens of the window that ended and returns the split to use
+// in the next one. It changes Placement if that pays.
+func (p *Planner) Plan(observed, speed []float64, pay Payback) *Split {
+	seen := Demand{Tokens: observed, Speed: speed}
+	p.judge(seen)
+	forecast := Demand{Tokens: p.forecast(observed), Speed: speed}
+	before := NewSplit(p.Placement, forecast)
+	improved := Improve(p.Placement, forecast, Payback{})
+	after := NewSplit(improved, forecast)
+	p.trial = trial{before: before, after: after, expected: 1 - after.Slowest()/before.Slowest()}
+	if !p.trusted(pay).pays(p.trial.expected, improved.Moved(p.Placement)) {
+		return before
+	}
+	p.Placement = improved
+	return after
+}
+
+// trusted shortens the horizon to what past savings lasted. If a part t of a
+// saving comes in the next window, and the same part of that in each one after,
+// t/(1-t) windows' worth comes in all.
+func (p *Planner) trusted(pay Payback) Payback {
+	if p.trust < 1 {
+		pay.Steps = min(pay.Steps, pay.WindowSteps*p.trust/(1-p.trust))
+	}
+	return pay
+}
+
+// judge compares what the last plan saved, or would have, with what was forecast.
+func (p *Planner) judge(seen Demand) {
+	if p.trial.expected <= settledSkew-1 {
+		return
+	}
+	before, after := p.trial.before.Serve(seen).Slowest(), p.trial.after.Serve(seen).Slowest()
+	// A plan that made things worse counts against those that helped by chance.
+	came := min(1, max(-1, (1-after/before)/p.trial.expected))
+	p.trust = min(1, max(0, p.trust+trusting*(came-p.trust)))
+}
+
+// forecast is the better of two guesses, judged by how far each was off so far:
+// the last window again, which is best after a sudden change that stays, or the
+// smoothed tokens, which is best where windows differ by chance.
+func (p *Planner) forecast(observed []float64) []float64 {
+	if p.smoothed == nil {
+		p.smoothed = append([]float64(nil), observed...)
+		p.last = append([]float64(nil), observed...)
+		return p.smoothed
+	}
+	p.lastError += learning * (distance(p.last, observed) - p.lastError)
+	p.smoothError += learning * (distance(p.smoothed, observed) - p.smoothError)
+	copy(p.last, observed)
+	for i, tokens := range observed {
+		p.smoothed[i] += smoothing * (tokens - p.smoothed[i])
+	}
+	if p.lastError < p.smoothError {
+		return p.last
+	}
+	return p.smoothed
+}
+
+// distance is the part of all tokens that went to other experts than guessed.
+func distance(guess, observed []float64) float64 {
+	off, sum := 0.0, 0.0
+	for i := range observed {
+		off += math.Abs(guess[i] - observed[i])
+		sum += observed[i]
+	}
+	if sum == 0 {
+		return 0
+	}
+	return off / (2 * sum)
+}
--- a/shared/peer/link.go
+++ b/shared/peer/link.go
@@ -21,7 +21,9 @@
 	// maxMessageBytes bounds one message between processes.
 	maxMessageBytes = 16 << 20
 	dialTimeout     = time.Second
-	keepAliveEvery  = time.Second
+	// keepAliveEvery ends links that nobody asks over; the others notice silence
+	// by an unanswered question.
+	keepAliveEvery = 10 * time.Second
 	// writeTimeout is when a link that takes no more bytes is given up.
 	writeTimeout = 2 * time.Second
 	streamWindow = 1 << 20
--- a/shared/peer/node.go
+++ b/shared/peer/node.go
@@ -19,12 +19,14 @@
 )
 
 const (
-	tickEvery    = 50 * time.Millisecond
-	readWait     = 300 * time.Millisecond
-	readAgain    = 100 * time.Millisecond
-	listEvery    = 500 * time.Millisecond
-	askTimeout   = time.Second
+	tickEvery  = 50 * time.Millisecond
+	readWait   = 300 * time.Millisecond
+	readAgain  = 100 * time.Millisecond
+	listEvery  = 500 * time.Millisecond
+	askTimeout = time.Second
+	// askEvery separates the questions to sources of news, contactEvery others.
 	askEvery     = 500 * time.Millisecond
+	contactEvery = time.Second
 	redialEvery  = 250 * time.Millisecond
 	eventBacklog = 4096
 	appendQueue  = 1024
@@ -130,7 +132,7 @@
 	group.Go(func() { n.readList(ctx) })
 	group.Go(func() { n.appendAll(ctx) })
 	for _, seed := range n.options.Seeds {
-		group.Go(func() { n.keepPeer(ctx, "", seed) })
+		group.Go(func() { n.keepPeer(ctx, "", seed, askEvery) })
 	}
 	n.reduceAll(ctx, &group)
 }
--- a/shared/peer/peers.go
+++ b/shared/peer/peers.go
@@ -23,8 +23,13 @@
 func (n *Node) updatePeers(ctx context.Context, group *sync.WaitGroup) {
 	inventory := n.state.Config().Inventory()
 	wanted := make(map[string]netip.AddrPort)
-	for _, name := range control.Peers(inventory, n.state.Self()) {
-		wanted[name] = inventory.Instances[name].Peer
+	every := make(map[string]time.Duration)
+	for _, p := range control.Peers(inventory, n.state.Self()) {
+		wanted[p.Name] = inventory.Instances[p.Name].Peer
+		every[p.Name] = contactEvery
+		if p.Source {
+			every[p.Name] = askEvery
+		}
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -40,7 +45,7 @@
 		}
 		peerContext, cancel := context.WithCancel(ctx)
 		n.peers[name] = &peerLoop{address: address, cancel: cancel}
-		group.Go(func() { n.keepPeer(peerContext, name, address) })
+		group.Go(func() { n.keepPeer(peerContext, name, address, every[name]) })
 	}
 }
 
@@ -64,12 +69,12 @@
 }
 
 // keepPeer dials a peer again and again until the context ends.
-func (n *Node) keepPeer(ctx context.Context, name string, address netip.AddrPort) {
+func (n *Node) keepPeer(ctx context.Context, name string, address netip.AddrPort, every time.Duration) {
 	for ctx.Err() == nil {
 		link, err := Dial(ctx, address, n.options.TLS)
 		if err == nil {
 			n.setLink(name, address, link)
-			err = n.askPeer(ctx, name, link)
+			err = n.askPeer(ctx, name, link, every)
 			n.setLink(name, address, nil)
 			_ = link.Close()
 		}
@@ -81,7 +86,7 @@
 }
 
 // askPeer asks for the peer's state until the link breaks or falls silent.
-func (n *Node) askPeer(ctx context.Context, name string, link *Link) error {
+func (n *Node) askPeer(ctx context.Context, name string, link *Link, every time.Duration) error {
 	stream, err := link.Open(&Open{Kind: &Open_Ask{Ask: &Ask{}}})
 	if err != nil {
 		return err
@@ -97,7 +102,7 @@
 			name = beat.GetInstance() // A seed: its name is known from now on.
 		}
 		n.Send(control.PeerAnswer{AskedAt: asked, Beat: beat.Control()})
-		sleep(ctx, askEvery)
+		sleep(ctx, every)
 		if ctx.Err() != nil {
 			return nil
 		}
