Let a process that nobody tells news read the log in time

A process that the inventory does not know yet counted as told by others and waited until its evidence was stale, and one whose peers were late read only after it had closed.

Change: a process that the inventory does not know reads for itself; evidence older than 1.7 s makes any process read; the first read of a stream does not wait.

Conclusion: relaying must fall back before evidence is stale, not after.

--- a/shared/control/evidence.go
+++ b/shared/control/evidence.go
@@ -73,6 +73,9 @@
 	return GateCutOff
 }
 
+// EvidenceAge is the time since the log was known to be read to its end.
+func (s *State) EvidenceAge(now time.Time) time.Duration { return now.Sub(s.evidence.at) }
+
 func (s *State) inTouchWithMajority() bool {
 	centres := s.config.Inventory().DataCentres
 	touched := map[string]bool{s.self.DataCentre: true}
--- a/shared/peer/node.go
+++ b/shared/peer/node.go
@@ -33,6 +33,9 @@
 	// relayedReadEvery is how often a process that is no reader looks at the
 	// log itself while it hears of it from others.
 	relayedReadEvery = 30 * time.Second
+	// relayedEvidence is how old evidence from others may be before a process
+	// reads the log itself; it is less than what counts as fresh.
+	relayedEvidence = 1700 * time.Millisecond
 )
 
 // Options are what a node needs from its program's settings.
@@ -220,17 +223,19 @@
 // readStream follows one stream of the log.
 func (n *Node) readStream(ctx context.Context, stream platform.Stream) {
 	next := platform.Offset(1)
+	wait := time.Duration(0) // The first read tells at once where the stream ends.
 	for ctx.Err() == nil {
 		if stream == platform.ConfigStream {
 			next = n.resume(ctx, next)
 		}
 		asked := time.Now()
-		page, err := n.options.Platform.Read(ctx, stream, next, readWait)
+		page, err := n.options.Platform.Read(ctx, stream, next, wait)
 		if err != nil {
 			events.Log(n.options.Logger, events.LogUnreadable, log.Fields{"stream": stream, "error": err.Error()})
 			sleep(ctx, readAgain)
 			continue
 		}
+		wait = readWait
 		if count := len(page.Records); count > 0 {
 			next = page.Records[count-1].Offset + 1
 		}
@@ -257,17 +262,22 @@
 	}
 	until := time.Now().Add(relayedReadEvery)
 	for ctx.Err() == nil && time.Now().Before(until) {
-		fresh := false
-		n.Query(ctx, func(s *control.State) { fresh = s.Gate() == control.GateFresh })
-		if !fresh {
-			return
+		var age time.Duration
+		n.Query(ctx, func(s *control.State) { age = s.EvidenceAge(time.Now()) })
+		if age > relayedEvidence {
+			return // Others do not tell it in time; it must not close for that.
 		}
-		sleep(ctx, readWait)
+		sleep(ctx, readAgain)
 	}
 }
 
+// reader tells whether this process follows the log itself: a reader of its data
+// centre, or one that the inventory does not know yet.
 func (n *Node) reader() bool {
 	self := n.options.Identity
+	if _, known := n.View().Inventory.Instances[self.Instance]; !known {
+		return true
+	}
 	return slices.Contains(control.Readers(&n.View().Inventory, self.DataCentre), self.Instance)
 }
 
