--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Few targets: what each needs is installed by `make setup`, which the others call.
 
-MODULES := shared standin entry agent operate demo
+MODULES := shared standin entry agent operate demo measure
 PACKAGES := $(MODULES:%=./%/...)
 ARGS ?=
 
@@ -41,3 +41,9 @@
 	go test -run xxx -fuzz FuzzIntent -fuzztime $(FUZZ_TIME) ./shared/control
 	go test -run xxx -fuzz FuzzInventory -fuzztime $(FUZZ_TIME) ./shared/operator
 	go test -run xxx -fuzz FuzzStream -fuzztime $(FUZZ_TIME) ./shared/peer
+
+measure:
+	go run ./measure $(ARGS)
+
+capacity:
+	go run ./measure --only capacity $(ARGS)
--- a/agent/target/agent.go
+++ b/agent/target/agent.go
@@ -67,7 +67,7 @@
 // NewAgent gives an agent that Serve starts.
 func NewAgent(options Options, logger log.Interface) *Agent {
 	ctx, kill := context.WithCancel(context.Background())
-	return &Agent{
+	a := &Agent{
 		ctx:     ctx,
 		kill:    kill,
 		options: options,
@@ -77,6 +77,8 @@
 		outputs: make(map[control.AttemptID]*output),
 		bodies:  make(map[control.AttemptID]*attempt),
 	}
+	a.node = peer.NewNode(a.nodeOptions())
+	return a
 }
 
 // newClient gives a client that hands redirects on to the caller.
@@ -87,6 +89,9 @@
 	}
 }
 
+// Applied is the last offset of the configuration that is in force here.
+func (a *Agent) Applied() platform.Offset { return a.node.View().Applied }
+
 // Serve answers peers on a listener until the context ends and the work is done.
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
 	hard, cancel := a.ctx, a.kill
@@ -95,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	a.node = peer.NewNode(a.nodeOptions(dialTLS))
+	a.node.UseTLS(dialTLS)
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancel()
@@ -136,7 +141,7 @@
 	return tls.NewListener(listener, server), client, nil
 }
 
-func (a *Agent) nodeOptions(dialTLS *tls.Config) peer.Options {
+func (a *Agent) nodeOptions() peer.Options {
 	return peer.Options{
 		Identity: control.Identity{
 			Instance:    a.options.Instance,
@@ -149,7 +154,6 @@
 		Platform: platform.NewClient(a.options.Platform, nil),
 		Seeds:    a.options.Seeds,
 		Streams:  []platform.Stream{platform.IntentStream(a.options.Service)},
-		TLS:      dialTLS,
 		Handle:   a.handle,
 		Logger:   a.logger,
 	}
--- a/demo/site/site.go
+++ b/demo/site/site.go
@@ -17,6 +17,7 @@
 	"chervilswitch.example/agent/target"
 	"chervilswitch.example/entry/caller"
 	"chervilswitch.example/operate/desk"
+	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/platform"
 	"chervilswitch.example/shared/settings"
@@ -82,6 +83,8 @@
 	group   sync.WaitGroup
 	settled map[string]any
 	targets map[string]netip.AddrPort
+	// applied tells the last offset that each daemon has applied.
+	applied map[string]func() platform.Offset
 }
 
 // Start builds a deployment and publishes its inventory.
@@ -92,6 +95,7 @@
 		Engines: make(map[string]*engine.Engine), Plains: make(map[string]*plain.Service),
 		Processes: make(map[string]*Process), Callers: make(map[string]netip.AddrPort),
 		Operators: make(map[string]netip.AddrPort), targets: make(map[string]netip.AddrPort),
+		applied: make(map[string]func() platform.Offset),
 		settled: make(map[string]any), options: options, ctx: ctx, cancel: cancel,
 	}
 	if err := s.start(); err != nil {
@@ -251,6 +255,7 @@
 func (s *Site) runAgent(options target.Options, listener net.Listener) {
 	s.settled[options.Instance] = options
 	agent := target.NewAgent(options, s.options.Logger)
+	s.applied[options.Instance] = agent.Applied
 	s.run(options.Instance, func(ctx context.Context) error { return agent.Serve(ctx, listener) }, agent.Kill)
 }
 
@@ -286,6 +291,7 @@
 	}
 	options := caller.Options{Common: common, Callers: addressOf(callers), AddressKeep: settings.Duration(s.options.AddressKeep)}
 	entry := caller.NewEntry(options, s.options.Logger)
+	s.applied[name] = entry.Applied
 	s.run(name, func(ctx context.Context) error { return entry.Serve(ctx, callers, peers) }, entry.Kill)
 	return nil
 }
@@ -357,5 +363,57 @@
 			open++
 		}
 	}
-	return status.Gate == "fresh" && open == len(s.targets)
+	return status.Gate == "fresh" && open == s.usedTargets(name)
+}
+
+// usedTargets is how many agents an entry asks for their state.
+func (s *Site) usedTargets(entry string) int {
+	instance := s.Inventory.Instances[entry]
+	count := 0
+	for _, p := range control.Peers(&s.Inventory, control.Identity{Instance: entry, DataCentre: instance.DataCentre, Role: operator.RoleEntry}) {
+		if s.Inventory.Instances[p.Name].Role == operator.RoleAgent {
+			count++
+		}
+	}
+	return count
+}
+
+// inForcePoll separates the looks at whether a change is in force.
+const inForcePoll = 5 * time.Millisecond
+
+// TimeChange publishes a change and returns the time from its acceptance until
+// every process has applied it, as the entries see it or by their own state.
+func (s *Site) TimeChange(ctx context.Context) (time.Duration, error) {
+	p := desk.NewPublisher(platform.NewClient(s.Platform, nil))
+	if err := p.Refresh(ctx); err != nil {
+		return 0, err
+	}
+	centre := p.Config().Inventory().DataCentres[DataCentres[0]]
+	centre.Region += "'"
+	edit, err := desk.OutEdit(DataCentres[0], centre, centre.Out)
+	if err != nil {
+		return 0, err
+	}
+	seen, err := p.Publish(ctx, "site", []operator.Edit{edit})
+	if err != nil {
+		return 0, err
+	}
+	accepted := time.Now()
+	for ctx.Err() == nil {
+		if s.allApplied(seen.Offset) {
+			return time.Since(accepted), nil
+		}
+		time.Sleep(inForcePoll)
+	}
+	return 0, ctx.Err()
+}
+
+// allApplied asks every daemon itself.
+func (s *Site) allApplied(offset platform.Offset) bool {
+	for _, applied := range s.applied {
+		if applied() < offset {
+			return false
+		}
+	}
+	return true
 }
--- a/entry/caller/entry.go
+++ b/entry/caller/entry.go
@@ -62,7 +62,7 @@
 // NewEntry gives an entry that Serve starts.
 func NewEntry(options Options, logger log.Interface) *Entry {
 	ctx, kill := context.WithCancel(context.Background())
-	return &Entry{
+	e := &Entry{
 		ctx:       ctx,
 		kill:      kill,
 		options:   options,
@@ -70,8 +70,13 @@
 		metrics:   newMetrics(),
 		exchanges: make(map[control.RequestID]*exchange),
 	}
+	e.node = peer.NewNode(e.nodeOptions())
+	return e
 }
 
+// Applied is the last offset of the configuration that is in force here.
+func (e *Entry) Applied() platform.Offset { return e.node.View().Applied }
+
 // Serve answers callers and peers until the context ends. It then tells peers
 // that it leaves, serves for as long as callers may keep its address, and
 // returns when the last request has ended.
@@ -82,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	e.node = peer.NewNode(e.nodeOptions(dialTLS))
+	e.node.UseTLS(dialTLS)
 	handler, err := e.handler()
 	if err != nil {
 		return err
@@ -157,7 +162,7 @@
 	return callers, tls.NewListener(peers, server), client, nil
 }
 
-func (e *Entry) nodeOptions(dialTLS *tls.Config) peer.Options {
+func (e *Entry) nodeOptions() peer.Options {
 	return peer.Options{
 		Identity: control.Identity{
 			Instance:    e.options.Instance,
@@ -168,7 +173,6 @@
 		},
 		Platform: platform.NewClient(e.options.Platform, nil),
 		Seeds:    e.options.Seeds,
-		TLS:      dialTLS,
 		Handle:   e.handle,
 		Logger:   e.logger,
 	}
--- /dev/null
+++ b/measure/capacity.go
@@ -0,0 +1,552 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"chervilswitch.example/demo/site"
+	"chervilswitch.example/shared/control"
+	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/peer"
+	"chervilswitch.example/shared/platform"
+	"chervilswitch.example/standin/engine"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+)
+
+// The size that the users' letter names.
+const (
+	aimEntries        = 370
+	aimReplicas       = 650
+	aimOrganisations  = 25_000
+	aimModels         = 5
+	aimDataCentres    = 5
+	aimRequests       = 3400.0
+	aimChangesDay     = 660.0
+	aimRestartsDay    = 68.0 + 17.0
+	aimCorePart       = 0.016
+	aimMegabytes      = 128.0
+	aimKilobytes      = 14.0
+	aimAppends        = 300.0
+	keysKeptPerTarget = 50_000
+	secondsPerDay     = 86_400.0
+	exchanges         = 4000
+	idleFor           = 4 * time.Second
+)
+
+// slope is a straight line through figures measured at several sizes.
+type slope struct {
+	Name   string    `json:"name"`
+	Unit   string    `json:"unit"`
+	Sizes  []float64 `json:"sizes"`
+	Values []float64 `json:"values"`
+	Per    float64   `json:"per"`
+	Base   float64   `json:"base"`
+}
+
+// newSlope fits the least squares line.
+func newSlope(name, unit string, sizes, values []float64) slope {
+	n, sumX, sumY, sumXX, sumXY := float64(len(sizes)), 0.0, 0.0, 0.0, 0.0
+	for i := range sizes {
+		sumX += sizes[i]
+		sumY += values[i]
+		sumXX += sizes[i] * sizes[i]
+		sumXY += sizes[i] * values[i]
+	}
+	per := (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
+	return slope{Name: name, Unit: unit, Sizes: sizes, Values: values, Per: per, Base: (sumY - per*sumX) / n}
+}
+
+// at is the line's value at a size.
+func (s slope) at(size float64) float64 { return s.Base + s.Per*size }
+
+// capacity gathers the slopes.
+type capacity struct {
+	memory, apply, view, snapshot slope
+	exchangeCPU, linkMemory       slope
+	decide, beat, tick            slope
+	keys, plan, inForce, idleCPU  slope
+	exchangeBytes                 float64
+}
+
+func measureCapacity(ctx context.Context, page string) (result, error) {
+	var c capacity
+	c.measureState()
+	if err := c.measureLinks(ctx); err != nil {
+		return result{}, err
+	}
+	c.measureReducer()
+	c.measureKeys()
+	c.measurePlans()
+	if err := c.measureSites(ctx); err != nil {
+		return result{}, err
+	}
+	slopes, sums := c.slopeTable(), c.sumTable()
+	if err := writeTables(page, slopes, sums); err != nil {
+		return result{}, err
+	}
+	return result{name: "Capacity", figures: c.slopes(), table: slopes}, nil
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// cpu is the processor time of this process in seconds.
+func cpu() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	seconds := func(t syscall.Timeval) float64 { return float64(t.Sec) + float64(t.Usec)/1e6 }
+	return seconds(usage.Utime) + seconds(usage.Stime)
+}
+
+// inventoryOf has the letter's shape with a number of organisations, entries
+// and replicas.
+func inventoryOf(organisations, entries, replicas int) *operator.Inventory {
+	v := &operator.Inventory{
+		DataCentres: make(map[string]operator.DataCentre), Instances: make(map[string]operator.Instance),
+		Services: make(map[string]operator.Service), Organisations: make(map[string]operator.Organisation),
+	}
+	for i := range aimDataCentres {
+		v.DataCentres[fmt.Sprint("dc-", i)] = operator.DataCentre{Region: fmt.Sprint("region-", i%2)}
+	}
+	for i := range aimModels {
+		v.Services[fmt.Sprint("model-", i)] = operator.Service{
+			Kind: operator.KindModel, Models: []string{fmt.Sprint("m-", i)}, ColdLimit: 4, WarmLimit: 32,
+		}
+	}
+	address := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+	}
+	for i := range entries {
+		v.Instances[fmt.Sprintf("entry-%03d", i)] = operator.Instance{
+			DataCentre: fmt.Sprint("dc-", i%aimDataCentres), Role: operator.RoleEntry, Peer: address(i), Caller: address(i),
+		}
+	}
+	for i := range replicas {
+		v.Instances[fmt.Sprintf("replica-%03d", i)] = operator.Instance{
+			DataCentre: fmt.Sprint("dc-", i%aimDataCentres), Role: operator.RoleAgent,
+			Peer: address(entries + i), Service: fmt.Sprint("model-", i%aimModels),
+		}
+	}
+	for i := range organisations {
+		v.Organisations[fmt.Sprintf("organisation-%05d", i)] = operator.Organisation{
+			KeyHashes: []string{fmt.Sprintf("%064x", i)}, Share: 1 + i%3,
+		}
+	}
+	return v
+}
+
+func changeRecord(id string, base platform.Offset, edits []operator.Edit) platform.Record {
+	record := control.Record{Format: control.RecordFormat, ID: id, Kind: control.RecordChange, Base: base, Edits: edits}
+	data, err := record.Encode()
+	if err != nil {
+		panic(err) // Every part of it was encoded before.
+	}
+	return platform.Record{Offset: base + 1, Data: data}
+}
+
+// measureState measures what the configuration costs at several numbers of
+// organisations, with the letter's instances.
+func (c *capacity) measureState() {
+	sizes := []float64{2500, 5000, 12_500, 25_000}
+	var memory, apply, view, snapshot []float64
+	for _, size := range sizes {
+		record := changeRecord("all", 0, inventoryOf(int(size), aimEntries, aimReplicas).Edits())
+		before := heap()
+		state := control.NewState(control.Identity{Instance: "entry-000", DataCentre: "dc-0", Role: operator.RoleEntry})
+		state.Reduce(time.Now(), control.PeerRecords{Records: []platform.Record{record}})
+		record.Data = nil
+		memory = append(memory, (heap()-before)/1e6)
+		started := time.Now()
+		clone := peer.NewView(state.Config())
+		view = append(view, time.Since(started).Seconds()*1e3)
+		bytes := 0
+		for _, r := range state.Config().Snapshot("s") {
+			data, _ := r.Encode() // Its parts were decoded from JSON.
+			bytes += len(data)
+		}
+		snapshot = append(snapshot, float64(bytes)/1e6)
+		apply = append(apply, applyTime(state))
+		runtime.KeepAlive(clone)
+	}
+	c.memory = newSlope("configuration in memory", "MB by organisations", sizes, memory)
+	c.apply = newSlope("applying one change", "us by organisations", sizes, apply)
+	c.view = newSlope("publishing the view for traffic", "ms by organisations", sizes, view)
+	c.snapshot = newSlope("one snapshot in the log", "MB by organisations", sizes, snapshot)
+}
+
+// applyTime is the median time to apply a change of one object.
+func applyTime(state *control.State) float64 {
+	var times []float64
+	for i := range 101 {
+		value, _ := json.Marshal(operator.DataCentre{Region: fmt.Sprint(i)}) // A string always encodes.
+		edit := operator.Edit{Key: operator.Key{Collection: operator.DataCentres, Name: "dc-0"}, Value: value}
+		record := changeRecord(fmt.Sprint("c", i), state.Config().Applied(), []operator.Edit{edit})
+		started := time.Now()
+		state.Reduce(time.Now(), control.PeerRecords{Records: []platform.Record{record}})
+		times = append(times, time.Since(started).Seconds()*1e6)
+	}
+	return quantile(times, 0.5)
+}
+
+// countingListener counts the bytes of its connections.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Accept counts what the accepted connection carries.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// measureLinks measures questions between processes over several links.
+func (c *capacity) measureLinks(ctx context.Context) error {
+	sizes := []float64{4, 8, 16, 32, 64}
+	var memory, processor []float64
+	for _, size := range sizes {
+		m, p, b, err := links(ctx, int(size))
+		if err != nil {
+			return err
+		}
+		memory = append(memory, m/1e3)
+		processor = append(processor, p*1e6)
+		c.exchangeBytes = b
+	}
+	c.linkMemory = newSlope("memory of links, both ends", "KB by links", sizes, memory)
+	c.exchangeCPU = newSlope("processor time of one question, both ends", "us by links", sizes, processor)
+	return nil
+}
+
+// links opens a number of links and asks over each; it returns the memory, the
+// processor seconds and the bytes of one question.
+func links(ctx context.Context, count int) (memory, processor, bytes float64, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	listener := &countingListener{Listener: inner}
+	node := peer.NewNode(peer.Options{
+		Identity: control.Identity{Instance: "replica-000", DataCentre: "dc-0", Role: operator.RoleAgent, Service: "model-0", Incarnation: 1 << 60},
+		Platform: platform.NewClient(netip.MustParseAddrPort("127.0.0.1:1"), nil),
+		Handle:   func(*control.State, control.Effect) {},
+		Logger:   &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	})
+	var group sync.WaitGroup
+	group.Go(func() { node.Run(ctx) })
+	group.Go(func() {
+		_ = peer.Serve(ctx, listener, func(ctx context.Context, first *peer.Open, s *peer.Stream) { node.HandlePeer(ctx, first, s) })
+	})
+	defer group.Wait()
+	defer cancel()
+	before := heap()
+	streams, closeAll, err := openStreams(ctx, inner.Addr().(*net.TCPAddr).AddrPort(), count)
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	defer closeAll()
+	memory = heap() - before
+	bytesBefore, cpuBefore := listener.bytes.Load(), cpu()
+	if err := askOver(streams, exchanges); err != nil {
+		return 0, 0, 0, err
+	}
+	done := float64(exchanges / count * count)
+	return memory, (cpu() - cpuBefore) / done, float64(listener.bytes.Load()-bytesBefore) / done, nil
+}
+
+func openStreams(ctx context.Context, address netip.AddrPort, count int) ([]*peer.Stream, func(), error) {
+	var streams []*peer.Stream
+	var open []*peer.Link
+	closeAll := func() {
+		for _, link := range open {
+			_ = link.Close()
+		}
+	}
+	for range count {
+		link, err := peer.Dial(ctx, address, nil)
+		if err != nil {
+			closeAll()
+			return nil, nil, err
+		}
+		open = append(open, link)
+		s, err := link.Open(&peer.Open{Kind: &peer.Open_Ask{Ask: &peer.Ask{}}})
+		if err == nil {
+			err = s.ReceiveBefore(new(peer.Beat), time.Minute)
+		}
+		if err != nil {
+			closeAll()
+			return nil, nil, err
+		}
+		streams = append(streams, s)
+	}
+	return streams, closeAll, nil
+}
+
+func askOver(streams []*peer.Stream, total int) error {
+	for range total / len(streams) {
+		for _, s := range streams {
+			if err := s.Send(&peer.Ask{}); err != nil {
+				return err
+			}
+			if err := s.ReceiveBefore(new(peer.Beat), time.Minute); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// measureReducer measures an entry's decisions at several numbers of targets.
+func (c *capacity) measureReducer() {
+	sizes := []float64{10, 65, 200, 650}
+	var decide, beat []float64
+	for _, size := range sizes {
+		d, b := decisions(int(size))
+		decide = append(decide, d)
+		beat = append(beat, b)
+	}
+	c.decide = newSlope("deciding one request, all events", "us by targets", sizes, decide)
+	c.beat = newSlope("taking one peer's answer", "us by targets", sizes, beat)
+	running := []float64{0, 16, 64, 256}
+	var tick []float64
+	for _, size := range running {
+		tick = append(tick, tickTime(int(size)))
+	}
+	c.tick = newSlope("one tick", "us by requests in flight", running, tick)
+}
+
+// newEntry is an entry's reducer that knows a number of targets of one service.
+func newEntry(targets int) (*control.State, []control.Beat, time.Time) {
+	v := inventoryOf(10, 4, targets)
+	for name, instance := range v.Instances {
+		if instance.Role == operator.RoleAgent {
+			instance.Service = "model-0"
+			v.Instances[name] = instance
+		}
+	}
+	now := time.Now()
+	state := control.NewState(control.Identity{Instance: "entry-000", DataCentre: "dc-0", Role: operator.RoleEntry, Incarnation: 1})
+	record := changeRecord("all", 0, v.Edits())
+	state.Reduce(now, control.LogPage{Stream: platform.ConfigStream, AskedAt: now, Page: platform.Page{Records: []platform.Record{record}, First: 1, Next: 2}})
+	var beats []control.Beat
+	for name, instance := range v.Instances {
+		if instance.Role == operator.RoleAgent {
+			beats = append(beats, control.Beat{
+				Instance: name, DataCentre: instance.DataCentre, Role: operator.RoleAgent, Incarnation: 1, Service: "model-0",
+				Applied: 1, EvidenceOffset: 1, Load: control.Load{Limit: 32, Credit: 1 << 20, FirstOutput: 50 * time.Millisecond},
+			})
+		}
+	}
+	for _, b := range beats {
+		state.Reduce(now, control.PeerAnswer{AskedAt: now, Beat: b})
+	}
+	return state, beats, now
+}
+
+func decisions(targets int) (decide, beat float64) {
+	const rounds = 20_000
+	state, beats, now := newEntry(targets)
+	started := time.Now()
+	for i := range rounds {
+		id := control.RequestID(fmt.Sprint("o/", i))
+		request := control.Request{ID: id, Organisation: "o", Service: "model-0", Idempotent: true, Replayable: true}
+		for _, effect := range state.Reduce(now, control.RequestArrived{Request: request}) {
+			f, ok := effect.(control.Forward)
+			if !ok {
+				continue
+			}
+			load := control.Load{Limit: 32, Credit: 1 << 20}
+			state.Reduce(now, control.AttemptAnswered{Request: id, Attempt: f.Attempt, Verdict: control.Verdict{Outcome: control.OutcomeAdmitted}, Load: load})
+			state.Reduce(now, control.AttemptProduced{Request: id, Attempt: f.Attempt})
+			state.Reduce(now, control.AttemptEnded{Request: id, Attempt: f.Attempt, Load: load})
+		}
+	}
+	decide = time.Since(started).Seconds() * 1e6 / rounds
+	started = time.Now()
+	for i := range rounds {
+		state.Reduce(now, control.PeerAnswer{AskedAt: now, Beat: beats[i%len(beats)]})
+	}
+	return decide, time.Since(started).Seconds() * 1e6 / rounds
+}
+
+func tickTime(inFlight int) float64 {
+	const rounds = 2000
+	state, _, now := newEntry(65)
+	for i := range inFlight {
+		state.Reduce(now, control.RequestArrived{Request: control.Request{ID: control.RequestID(fmt.Sprint("o/", i)), Organisation: "o", Service: "model-0"}})
+	}
+	started := time.Now()
+	for range rounds {
+		state.Reduce(now, control.Tick{})
+	}
+	return time.Since(started).Seconds() * 1e6 / rounds
+}
+
+// measureKeys measures the memory of the keys that an agent knows.
+func (c *capacity) measureKeys() {
+	sizes := []float64{1000, 4000, 16_000, 64_000}
+	var memory []float64
+	for _, size := range sizes {
+		before := heap()
+		state := control.NewState(control.Identity{Instance: "replica-000", Role: operator.RoleAgent, Service: "model-0", Incarnation: 1})
+		page := platform.Page{First: 1, Next: platform.Offset(size) + 1}
+		for i := range int(size) {
+			data, _ := json.Marshal(control.Intent{ // Its fields are strings and numbers.
+				Format: control.RecordFormat, Instance: "replica-001", Incarnation: 1,
+				Keys: []control.IntentKey{{Key: fmt.Sprintf("organisation-00001/%032x", i), Fingerprint: 1}},
+			})
+			page.Records = append(page.Records, platform.Record{Offset: platform.Offset(i + 1), Data: data})
+		}
+		state.Reduce(time.Now(), control.LogPage{Stream: platform.IntentStream("model-0"), AskedAt: time.Now(), Page: page})
+		page.Records = nil
+		memory = append(memory, (heap()-before)/1e6)
+		runtime.KeepAlive(state)
+	}
+	c.keys = newSlope("idempotency keys in memory", "MB by keys", sizes, memory)
+}
+
+// measurePlans measures the planning of one layer's expert map.
+func (c *capacity) measurePlans() {
+	sizes := []float64{64, 128, 192, 256}
+	var times []float64
+	for _, experts := range sizes {
+		group := skewCase{ranks: int(experts) / 8, experts: int(experts)}
+		trace := group.trace(1)
+		var worst float64
+		for seed := range 5 {
+			demand := control.Demand{Tokens: trace[seed*10], Speed: group.speeds()}
+			started := time.Now()
+			control.Improve(control.NewPlacement(group.ranks, group.experts, group.slots()), demand, control.Payback{})
+			worst = max(worst, time.Since(started).Seconds()*1e3)
+		}
+		times = append(times, worst)
+	}
+	c.plan = newSlope("planning a layer from cold, 8 experts a rank", "ms by experts", sizes, times)
+}
+
+// measureSites runs real deployments: how soon a change is in force, and what
+// idle daemons cost, at several numbers of agents.
+func (c *capacity) measureSites(ctx context.Context) error {
+	sizes := []float64{8, 16, 32, 64}
+	var inForce, idle []float64
+	for _, size := range sizes {
+		f, i, err := idleSite(ctx, int(size))
+		if err != nil {
+			return err
+		}
+		inForce = append(inForce, f)
+		idle = append(idle, i)
+	}
+	c.inForce = newSlope("a change in force everywhere", "s by agents, 4 entries", sizes, inForce)
+	c.idleCPU = newSlope("processor time of an idle deployment, stand-ins included", "% of a core by agents", sizes, idle)
+	return nil
+}
+
+func idleSite(ctx context.Context, agents int) (inForce, corePercent float64, err error) {
+	s, err := site.Start(ctx, site.Options{
+		Entries: 4, Replicas: agents, ColdLimit: 4, WarmLimit: 16, Engine: engine.Options{},
+		AddressKeep: time.Second, Logger: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	defer s.Close()
+	if err := s.AwaitReady(ctx); err != nil {
+		return 0, 0, err
+	}
+	before := cpu()
+	time.Sleep(idleFor)
+	corePercent = 100 * (cpu() - before) / idleFor.Seconds()
+	var worst time.Duration
+	for range seeds {
+		took, err := s.TimeChange(ctx)
+		if err != nil {
+			return 0, 0, err
+		}
+		worst = max(worst, took)
+	}
+	return worst.Seconds(), corePercent, nil
+}
+
+func (c *capacity) slopes() []slope {
+	return []slope{
+		c.memory, c.apply, c.view, c.snapshot, c.linkMemory, c.exchangeCPU,
+		c.decide, c.beat, c.tick, c.keys, c.plan, c.inForce, c.idleCPU,
+	}
+}
+
+func (c *capacity) slopeTable() *table {
+	t := newTable("what", "unit", "at sizes", "measured", "slope", "at zero")
+	for _, s := range c.slopes() {
+		t.add(s.Name, s.Unit, list(s.Sizes), list(s.Values), fmt.Sprintf("%.3g", s.Per), fmt.Sprintf("%.3g", s.Base))
+	}
+	t.add("bytes of one question and its answer, yamux included", "bytes", "64 links", text(c.exchangeBytes), "", "")
+	return t
+}
+
+func list(values []float64) string {
+	texts := make([]string, len(values))
+	for i, value := range values {
+		texts[i] = text(value)
+	}
+	return strings.Join(texts, ", ")
+}
+
+// writeTables replaces the page's tables between their markers.
+func writeTables(file string, slopes, sums *table) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	page := string(raw)
+	for name, t := range map[string]*table{"slopes": slopes, "sums": sums} {
+		begin, end := "<!-- "+name+" -->\n", "<!-- end of "+name+" -->"
+		i, j := strings.Index(page, begin), strings.Index(page, end)
+		if i < 0 || j < i {
+			return fmt.Errorf("%s lacks the markers of the table %q", file, name)
+		}
+		page = page[:i+len(begin)] + "\n" + t.String() + "\n" + page[j:]
+	}
+	return os.WriteFile(file, []byte(page), 0o644)
+}
--- a/measure/stub.go
+++ b/measure/stub.go
@@ -2,7 +2,6 @@
 
 import "context"
 
-func measureChoice() result                                   { return result{} }
-func measureOverload() result                                 { return result{} }
-func measureMove(context.Context) (result, error)             { return result{}, nil }
-func measureCapacity(context.Context, string) (result, error) { return result{}, nil }
+func measureChoice() result                       { return result{} }
+func measureOverload() result                     { return result{} }
+func measureMove(context.Context) (result, error) { return result{}, nil }
--- a/shared/peer/node.go
+++ b/shared/peer/node.go
@@ -46,8 +46,6 @@
 	Seeds []netip.AddrPort
 	// Streams are read besides the configuration.
 	Streams []platform.Stream
-	// TLS is used to dial peers; nil means plain TCP.
-	TLS *tls.Config
 	// Handle does the effects that concern traffic, on the control goroutine.
 	// It must not block, nor keep the state.
 	Handle func(*control.State, control.Effect)
@@ -71,6 +69,7 @@
 	appends chan control.Append
 	view    atomic.Pointer[View]
 	done    chan struct{}
+	tls     *tls.Config
 
 	mutex sync.Mutex
 	peers map[string]*peerLoop
@@ -91,6 +90,9 @@
 	return n
 }
 
+// UseTLS sets how peers are dialed; nil means plain TCP. Call it before Run.
+func (n *Node) UseTLS(config *tls.Config) { n.tls = config }
+
 // View is the newest view; callers must not change it.
 func (n *Node) View() *View { return n.view.Load() }
 
@@ -199,8 +201,11 @@
 	n.updatePeers(ctx, group)
 }
 
-func (n *Node) publishView() {
-	inventory := n.state.Config().Inventory()
+func (n *Node) publishView() { n.view.Store(NewView(n.state.Config())) }
+
+// NewView copies what traffic reads of a configuration.
+func NewView(config *control.Config) *View {
+	inventory := config.Inventory()
 	view := &View{
 		Inventory: operator.Inventory{
 			DataCentres:   maps.Clone(inventory.DataCentres),
@@ -210,14 +215,14 @@
 			Organisations: maps.Clone(inventory.Organisations),
 		},
 		Organisations: make(map[string]string),
-		Applied:       n.state.Config().Applied(),
+		Applied:       config.Applied(),
 	}
 	for name, organisation := range view.Inventory.Organisations {
 		for _, sum := range organisation.KeyHashes {
 			view.Organisations[sum] = name
 		}
 	}
-	n.view.Store(view)
+	return view
 }
 
 // readStream follows one stream of the log.
--- a/shared/peer/peers.go
+++ b/shared/peer/peers.go
@@ -71,7 +71,7 @@
 // keepPeer dials a peer again and again until the context ends.
 func (n *Node) keepPeer(ctx context.Context, name string, address netip.AddrPort, every time.Duration) {
 	for ctx.Err() == nil {
-		link, err := Dial(ctx, address, n.options.TLS)
+		link, err := Dial(ctx, address, n.tls)
 		if err == nil {
 			n.setLink(name, address, link)
 			err = n.askPeer(ctx, name, link, every)
@@ -148,7 +148,7 @@
 // seedLink dials a seed, for a process that knows no inventory yet.
 func (n *Node) seedLink(ctx context.Context) (*Link, bool) {
 	for _, seed := range n.options.Seeds {
-		if link, err := Dial(ctx, seed, n.options.TLS); err == nil {
+		if link, err := Dial(ctx, seed, n.tls); err == nil {
 			return link, true
 		}
 	}
