--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -99,7 +99,7 @@
 	return result{name: "Capacity", figures: c.slopes(), table: slopes}, nil
 }
 
-func heap() float64 {
+func heapBytes() float64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
@@ -170,11 +170,11 @@
 	var memory, apply, view, snapshot []float64
 	for _, size := range sizes {
 		record := changeRecord("all", 0, inventoryOf(int(size), aimEntries, aimReplicas).Edits())
-		before := heap()
+		before := heapBytes()
 		state := control.NewState(control.Identity{Instance: "entry-000", DataCentre: "dc-0", Role: operator.RoleEntry})
 		state.Reduce(time.Now(), control.PeerRecords{Records: []platform.Record{record}})
 		record.Data = nil
-		memory = append(memory, (heap()-before)/1e6)
+		memory = append(memory, (heapBytes()-before)/1e6)
 		started := time.Now()
 		clone := peer.NewView(state.Config())
 		view = append(view, time.Since(started).Seconds()*1e3)
@@ -280,13 +280,13 @@
 	})
 	defer group.Wait()
 	defer cancel()
-	before := heap()
+	before := heapBytes()
 	streams, closeAll, err := openStreams(ctx, inner.Addr().(*net.TCPAddr).AddrPort(), count)
 	if err != nil {
 		return 0, 0, 0, err
 	}
 	defer closeAll()
-	memory = heap() - before
+	memory = heapBytes() - before
 	bytesBefore, cpuBefore := listener.bytes.Load(), cpu()
 	if err := askOver(streams, exchanges); err != nil {
 		return 0, 0, 0, err
@@ -428,7 +428,7 @@
 	sizes := []float64{1000, 4000, 16_000, 64_000}
 	var memory []float64
 	for _, size := range sizes {
-		before := heap()
+		before := heapBytes()
 		state := control.NewState(control.Identity{Instance: "replica-000", Role: operator.RoleAgent, Service: "model-0", Incarnation: 1})
 		page := platform.Page{First: 1, Next: platform.Offset(size) + 1}
 		for i := range int(size) {
@@ -440,7 +440,7 @@
 		}
 		state.Reduce(time.Now(), control.LogPage{Stream: platform.IntentStream("model-0"), AskedAt: time.Now(), Page: page})
 		page.Records = nil
-		memory = append(memory, (heap()-before)/1e6)
+		memory = append(memory, (heapBytes()-before)/1e6)
 		runtime.KeepAlive(state)
 	}
 	c.keys = newSlope("idempotency keys in memory", "MB by keys", sizes, memory)
--- /dev/null
+++ b/measure/move.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"chervilswitch.example/demo/site"
+	"chervilswitch.example/operate/desk"
+	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/platform"
+	"chervilswitch.example/standin/engine"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+)
+
+const (
+	moveReplicas = 12
+	moveWarm     = 8
+	moveCold     = 4
+	moveBefore   = 3 * time.Second
+	moveOut      = 5 * time.Second
+	moveBack     = 5 * time.Second
+	moveWindow   = 250 * time.Millisecond
+	movedCentre  = "sfax-b"
+	// steadyShare is the part of its fair share at which a returned data centre
+	// counts as steady.
+	steadyShare = 0.8
+)
+
+// moveFigures are the figures of one level of load.
+type moveFigures struct {
+	Level                   string `json:"level"`
+	Lost                    spread `json:"lost"`
+	NotRunButRan            spread `json:"notRunButRan"`
+	RanTwice                spread `json:"ranTwice"`
+	ColdOverload            spread `json:"coldOverload"`
+	LastNewWorkAfterSeconds spread `json:"lastNewWorkAfterSeconds"`
+	FirstTokenP95Before     spread `json:"firstTokenP95Before"`
+	FirstTokenP95During     spread `json:"firstTokenP95During"`
+	FirstTokenP95After      spread `json:"firstTokenP95After"`
+	Refused                 spread `json:"refused"`
+	SecondsToSteady         spread `json:"secondsToSteady"`
+}
+
+// moveRun is one run through the real daemons.
+type moveRun struct {
+	lost, notRunButRan, ranTwice, coldOverload, lastNewWork float64
+	before, during, after, refused, steady                  float64
+}
+
+func measureMove(ctx context.Context) (result, error) {
+	t := newTable("load of what remains", "lost", "not run but ran", "ran twice", "cold overload", "last new work s", "p95 before ms", "during", "after", "refused", "s to steady")
+	var all []moveFigures
+	slots := float64(moveReplicas * 2 / 3 * moveWarm)
+	for _, level := range []float64{0.6, 0.9} {
+		var runs []moveRun
+		for range seeds {
+			run, err := moveOnce(ctx, int(level*slots))
+			if err != nil {
+				return result{}, err
+			}
+			runs = append(runs, run)
+		}
+		f := newMoveFigures(fmt.Sprintf("%.0f%%", 100*level), runs)
+		all = append(all, f)
+		t.add(f.Level, f.Lost, f.NotRunButRan, f.RanTwice, f.ColdOverload, f.LastNewWorkAfterSeconds,
+			f.FirstTokenP95Before, f.FirstTokenP95During, f.FirstTokenP95After, f.Refused, f.SecondsToSteady)
+	}
+	return result{
+		name: "A data centre leaves and returns", figures: all, table: t,
+		notes: []string{
+			fmt.Sprintf("The real daemons on loopback: 4 entries, %d replicas, 3 order desks, 3 data centres; %d runs each. Callers send one request after another; their number is the part of the slots of the two data centres that remain.", moveReplicas, seeds),
+			"Not run: the baselines of this measurement (take-out by health checks alone, and our policy without ramp-up).",
+		},
+	}, nil
+}
+
+func newMoveFigures(level string, runs []moveRun) moveFigures {
+	pick := func(f func(moveRun) float64) spread {
+		values := make([]float64, len(runs))
+		for i, r := range runs {
+			values[i] = f(r)
+		}
+		return newSpread(values)
+	}
+	return moveFigures{
+		Level:                   level,
+		Lost:                    pick(func(r moveRun) float64 { return r.lost }),
+		NotRunButRan:            pick(func(r moveRun) float64 { return r.notRunButRan }),
+		RanTwice:                pick(func(r moveRun) float64 { return r.ranTwice }),
+		ColdOverload:            pick(func(r moveRun) float64 { return r.coldOverload }),
+		LastNewWorkAfterSeconds: pick(func(r moveRun) float64 { return r.lastNewWork }),
+		FirstTokenP95Before:     pick(func(r moveRun) float64 { return r.before }),
+		FirstTokenP95During:     pick(func(r moveRun) float64 { return r.during }),
+		FirstTokenP95After:      pick(func(r moveRun) float64 { return r.after }),
+		Refused:                 pick(func(r moveRun) float64 { return r.refused }),
+		SecondsToSteady:         pick(func(r moveRun) float64 { return r.steady }),
+	}
+}
+
+func moveOnce(ctx context.Context, callers int) (moveRun, error) {
+	var run moveRun
+	s, err := site.Start(ctx, site.Options{
+		Entries: 4, Replicas: moveReplicas, Plains: 3, ColdLimit: moveCold, WarmLimit: moveWarm,
+		Engine:      engine.Options{Step: 20 * time.Millisecond, Prefill: 20 * time.Millisecond, CachedPrefixes: 8, ReportLag: 200 * time.Millisecond},
+		AddressKeep: time.Second, Logger: &log.Logger{Handler: discard.Default, Level: log.InfoLevel},
+	})
+	if err != nil {
+		return run, err
+	}
+	defer s.Close()
+	if err := s.AwaitReady(ctx); err != nil {
+		return run, err
+	}
+	load := site.NewLoad(s)
+	load.Start(ctx, callers)
+	time.Sleep(moveBefore) // The targets warm up.
+	run.before = phaseP95(load, moveBefore)
+	accepted, err := setOut(ctx, s, true)
+	if err != nil {
+		return run, err
+	}
+	run.during = phaseP95(load, moveOut)
+	run.lastNewWork = max(0, lastReceived(s).Sub(accepted).Seconds())
+	if _, err := setOut(ctx, s, false); err != nil {
+		return run, err
+	}
+	load.Reset()
+	run.steady = secondsToSteady(s)
+	time.Sleep(moveBack - time.Duration(run.steady*float64(time.Second)))
+	run.after = milliseconds(load.Seen().FirstTokenP95)
+	load.Stop()
+	run.count(s, load)
+	return run, nil
+}
+
+func (r *moveRun) count(s *site.Site, load *site.Load) {
+	seen := load.Seen()
+	twice, notRunButRan := load.CheckDeposits()
+	r.lost, r.refused = float64(seen.Unknown+seen.Mixed), float64(seen.NotRun)
+	r.ranTwice, r.notRunButRan = float64(twice), float64(notRunButRan)
+	for _, e := range s.Engines {
+		r.coldOverload += float64(e.Counts().ColdOverload)
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1e3 }
+
+// phaseP95 lets a phase pass and returns its first-token time for 95 in 100.
+func phaseP95(load *site.Load, phase time.Duration) float64 {
+	load.Reset()
+	time.Sleep(phase)
+	return milliseconds(load.Seen().FirstTokenP95)
+}
+
+// setOut publishes and returns when the change was accepted.
+func setOut(ctx context.Context, s *site.Site, out bool) (time.Time, error) {
+	p := desk.NewPublisher(platform.NewClient(s.Platform, nil))
+	if err := p.Refresh(ctx); err != nil {
+		return time.Time{}, err
+	}
+	edit, err := desk.OutEdit(movedCentre, p.Config().Inventory().DataCentres[movedCentre], out)
+	if err != nil {
+		return time.Time{}, err
+	}
+	_, err = p.Publish(ctx, "measure", []operator.Edit{edit})
+	return time.Now(), err
+}
+
+func lastReceived(s *site.Site) time.Time {
+	var last time.Time
+	for name, e := range s.Engines {
+		if at := e.Counts().LastReceived; s.Inventory.Instances[name].DataCentre == movedCentre && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// secondsToSteady waits until the returned data centre gets its share.
+func secondsToSteady(s *site.Site) float64 {
+	started := time.Now()
+	mine, all := received(s)
+	for time.Since(started) < moveBack-moveWindow {
+		time.Sleep(moveWindow)
+		mineNow, allNow := received(s)
+		share := float64(mineNow-mine) / float64(max(1, allNow-all))
+		if share >= steadyShare/float64(len(site.DataCentres)) {
+			break
+		}
+		mine, all = mineNow, allNow
+	}
+	return time.Since(started).Seconds()
+}
+
+func received(s *site.Site) (mine, all int) {
+	for name, e := range s.Engines {
+		count := e.Counts().Received
+		all += count
+		if s.Inventory.Instances[name].DataCentre == movedCentre {
+			mine += count
+		}
+	}
+	return mine, all
+}
--- a/shared/control/queue.go
+++ b/shared/control/queue.go
@@ -4,12 +4,13 @@
 
 const (
 	priorities = 10
-	// queueBudget is the longest wait that a queued request may expect.
-	queueBudget = 300 * time.Millisecond
+	// queueBudget is the longest wait that a queued request may expect; it is
+	// half of the time within which a first token is due.
+	queueBudget = 150 * time.Millisecond
 	// queueTimeout is when a queued request is refused for good.
-	queueTimeout = time.Second
-	// minQueued is the queue's bound before any rate was measured.
-	minQueued = 64
+	queueTimeout = 250 * time.Millisecond
+	// minQueued is the queue's bound while the rate is low or not yet known.
+	minQueued = 4
 	// rateHalfLife smooths the rate at which the queue empties.
 	rateHalfLife = time.Second
 )
