--- /dev/null
+++ b/shared/control/docs_test.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestModelPageNamesRealLines keeps docs/MODEL.md, the models and the code together.
+func TestModelPageNamesRealLines(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../docs/MODEL.md")
+	c.Assert(err, qt.IsNil)
+	listed := make(map[string]bool)
+	for _, row := range regexp.MustCompile("(?m)^\\| .* \\| (MUTANT_\\w+) \\| (\\w+\\.go) \\| `(.*)` \\|$").FindAllStringSubmatch(string(page), -1) {
+		listed[row[1]] = true
+		code, err := os.ReadFile(row[2])
+		c.Assert(err, qt.IsNil)
+		line := strings.ReplaceAll(row[3], `\|`, "|")
+		c.Check(strings.Contains(string(code), line), qt.IsTrue, qt.Commentf("%s lacks %s", row[2], line))
+	}
+	for _, model := range []string{"ranks", "once", "config"} {
+		text, err := os.ReadFile("../../model/" + model + ".pml")
+		c.Assert(err, qt.IsNil)
+		for _, mutant := range regexp.MustCompile(`MUTANT_\w+`).FindAllString(string(text), -1) {
+			c.Check(listed[mutant], qt.IsTrue, qt.Commentf("%s is not on the page", mutant))
+		}
+	}
+}
