Let groups of ranks form and switch through the daemons

Cause: the first promise was carried by the reducer alone; no daemon ordered an engine's steps.

Change: agents decide for the ranks that the inventory places on them and order each step of the engine; entries coordinate groups and propose formations and the operators' map; messages between ranks travel over the peers' links. chervil-standin runs the stand-ins as processes of their own. Candidates are weighed once each.

Ruled out first: a lead too short for ranks faster than news of them, which is real too and is why the lead now doubles. (2) An agent logged logUnreadable for its own stop.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	go build -o bin/chervil-entry ./entry
 	go build -o bin/chervil-agent ./agent
 	go build -o bin/chervil ./operate
+	go build -o bin/chervil-standin ./standin
 
 demo:
 	go run ./demo $(ARGS)
--- a/agent/target/agent.go
+++ b/agent/target/agent.go
@@ -44,6 +44,8 @@
 	waiters map[control.AttemptID]chan decision
 	outputs map[control.AttemptID]*output
 	bodies  map[control.AttemptID]*attempt
+	// steps ends the order of a rank's present step.
+	steps map[int]context.CancelFunc
 }
 
 // decision is what the reducer answered to a submission or a question.
@@ -76,6 +78,7 @@
 		waiters: make(map[control.AttemptID]chan decision),
 		outputs: make(map[control.AttemptID]*output),
 		bodies:  make(map[control.AttemptID]*attempt),
+		steps:   make(map[int]context.CancelFunc),
 	}
 	a.node = peer.NewNode(a.nodeOptions())
 	return a
@@ -200,6 +203,8 @@
 		a.decide(e.Attempt, decision{verdict: e.Verdict, load: s.Load()})
 	case control.Stop:
 		a.stop(e.Attempt)
+	case control.RankEffect:
+		a.handleRank(e.Rank, e.Output)
 	}
 }
 
--- a/demo/site/site.go
+++ b/demo/site/site.go
@@ -34,6 +34,7 @@
 	ModelService = "assistant"
 	PlainService = "order-desk"
 	Organisation = "medina"
+	GroupName    = "experts"
 	Key          = "demo-key-medina"
 )
 
@@ -51,7 +52,9 @@
 	WarmLimit   int
 	PlainDelay  time.Duration
 	AddressKeep time.Duration
-	Logger      log.Interface
+	// Ranks makes the replicas one lock-step group with a rank on each.
+	Ranks  bool
+	Logger log.Interface
 }
 
 // Process is one daemon with what stops it.
@@ -70,6 +73,7 @@
 	Ledger    *plain.Ledger
 	Engines   map[string]*engine.Engine
 	Plains    map[string]*plain.Service
+	Lockstep  *engine.Lockstep
 	Processes map[string]*Process
 	// Callers and Operators are the entries' addresses, Platform the platform's.
 	Callers   map[string]netip.AddrPort
@@ -95,8 +99,9 @@
 		Engines: make(map[string]*engine.Engine), Plains: make(map[string]*plain.Service),
 		Processes: make(map[string]*Process), Callers: make(map[string]netip.AddrPort),
 		Operators: make(map[string]netip.AddrPort), targets: make(map[string]netip.AddrPort),
-		applied: make(map[string]func() platform.Offset),
-		settled: make(map[string]any), options: options, ctx: ctx, cancel: cancel,
+		applied:  make(map[string]func() platform.Offset),
+		Lockstep: engine.NewLockstep(options.Replicas, options.Engine.Step),
+		settled:  make(map[string]any), options: options, ctx: ctx, cancel: cancel,
 	}
 	if err := s.start(); err != nil {
 		s.Close()
@@ -157,6 +162,9 @@
 		},
 		Organisations: map[string]operator.Organisation{Organisation: {KeyHashes: []string{hex.EncodeToString(sum[:])}}},
 	}
+	if s.options.Ranks {
+		s.Inventory.Groups = map[string]operator.Group{GroupName: {Service: ModelService, Ranks: s.options.Replicas, Layers: 1, Experts: 8, Slots: 8, Map: 1}}
+	}
 	for _, name := range DataCentres {
 		s.Inventory.DataCentres[name] = operator.DataCentre{Region: "sfax"}
 	}
@@ -216,6 +224,7 @@
 	e := engine.New(shape)
 	mux := http.NewServeMux()
 	e.Register(mux)
+	s.Lockstep.Register(mux)
 	address, err := s.serve(mux)
 	if err != nil {
 		return err
@@ -245,9 +254,11 @@
 	if err != nil {
 		return err
 	}
-	s.Inventory.Instances[name] = operator.Instance{
-		DataCentre: dataCentre, Role: operator.RoleAgent, Peer: common.Peer, Service: service,
+	instance := operator.Instance{DataCentre: dataCentre, Role: operator.RoleAgent, Peer: common.Peer, Service: service}
+	if s.options.Ranks && reports {
+		instance.Group, instance.Ranks = GroupName, []int{len(s.Engines) - 1}
 	}
+	s.Inventory.Instances[name] = instance
 	s.runAgent(target.Options{Common: common, Target: s.targets[name], Service: service, ReportsLoad: reports}, listener)
 	return nil
 }
--- a/demo/site/site_test.go
+++ b/demo/site/site_test.go
@@ -350,3 +350,44 @@
 	c.Assert(err, qt.ErrorIs, desk.ErrConflict)
 	c.Assert(err, qt.ErrorMatches, ".*dataCentres/sfax-b.*")
 }
+
+// awaitStep waits until the group ran a step that fits.
+func awaitStep(t *testing.T, s *Site, fits func(engine.StepSeen) bool) engine.StepSeen {
+	for deadline := time.Now().Add(settleWithin); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if last, _, _ := s.Lockstep.Seen(); fits(last) {
+			return last
+		}
+	}
+	last, done, mixed := s.Lockstep.Seen()
+	t.Fatalf("the group stands at %+v after %d steps, %d with two maps", last, done, mixed)
+	return last
+}
+
+func (s *Site) publishMap(t *testing.T, version uint64) {
+	p := desk.NewPublisher(platform.NewClient(s.Platform, nil))
+	qt.Assert(t, p.Refresh(context.Background()), qt.IsNil)
+	group := p.Config().Inventory().Groups[GroupName]
+	group.Map = version
+	value, err := json.Marshal(group)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = p.Publish(context.Background(), "amel", []operator.Edit{{Key: operator.Key{Collection: operator.Groups, Name: GroupName}, Value: value}})
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func TestGroupUsesOneMapInEveryStep(t *testing.T) {
+	c := qt.New(t)
+	s := startSite(t, func(o *Options) { o.Replicas, o.Plains, o.Ranks = 4, 1, true })
+	first := awaitStep(t, s, func(l engine.StepSeen) bool { return l.Map == 1 && l.Step > 5 })
+	s.publishMap(t, 2)
+	second := awaitStep(t, s, func(l engine.StepSeen) bool { return l.Map == 2 })
+	c.Assert(second.Generation, qt.Equals, first.Generation, qt.Commentf("a switch needs no new formation"))
+	c.Assert(s.RestartAgent("replica-02"), qt.IsNil)
+	s.publishMap(t, 3) // The switch races the formation.
+	third := awaitStep(t, s, func(l engine.StepSeen) bool { return l.Generation > first.Generation && l.Map == 3 })
+	s.Processes["entry-0"].Kill()
+	s.Processes["entry-1"].Kill() // Whoever coordinated, another goes on.
+	s.publishMap(t, 4)
+	awaitStep(t, s, func(l engine.StepSeen) bool { return l.Map == 4 && l.Generation >= third.Generation })
+	_, _, mixed := s.Lockstep.Seen()
+	c.Assert(mixed, qt.Equals, 0)
+}
--- a/entry/caller/operators.go
+++ b/entry/caller/operators.go
@@ -39,6 +39,11 @@
 	return &metrics{scope: scope, closer: closer, reporter: reporter}
 }
 
+// count counts a request that ended.
+func (m *metrics) count(how string, outcome control.Outcome, code control.Code) {
+	m.scope.Tagged(map[string]string{"how": how, "outcome": string(outcome), "code": string(code)}).Counter("requests_total").Inc(1)
+}
+
 // Status is what an entry tells operators of itself and its peers.
 type Status struct {
 	Instance   string          `json:"instance"`
--- a/shared/control/choice.go
+++ b/shared/control/choice.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,7 +97,7 @@
 	best := Choice{Target: -1}
 	bestScore := 0.0
 	consider := func(i int, factor float64, reason string) {
-		if !candidates[i].free() || excluded(exclude, i) {
+		if !candidates[i].free() || excluded(exclude, i) || slices.Contains(best.weighed[:best.count], i) {
 			return
 		}
 		if best.count < len(best.weighed) {
--- /dev/null
+++ b/shared/control/coordinator.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"time"
+
+	"chervilswitch.example/shared/operator"
+)
+
+const (
+	// proposeEvery separates a coordinator's proposals to one group.
+	proposeEvery = 2 * time.Second
+	// firstLead is how many steps ahead a switch is proposed, so that ranks have
+	// armed and heard all votes before they reach it. It doubles with each try,
+	// since ranks that are faster than news of them have always passed the step.
+	firstLead = 40
+	maxLead   = 1 << 16
+)
+
+// coordinated is what an entry last proposed to a group.
+type coordinated struct {
+	at         time.Time
+	generation uint64
+	lead       uint64
+}
+
+// member is a rank with the instance that decides for it.
+type member struct {
+	RankState
+	instance string
+}
+
+// coordinate proposes formations and switches to the groups that this entry
+// coordinates. Any number of coordinators may propose at once: the ranks decide,
+// and a proposal that is not heard everywhere is refused.
+func (s *State) coordinate() {
+	claim, claimed := s.config.Fencing(s.self.Instance)
+	if s.self.Role != operator.RoleEntry || s.draining || s.superseded || !claimed || claim.Incarnation != s.self.Incarnation {
+		return
+	}
+	for _, name := range sortedKeys(s.config.Inventory().Groups) {
+		if home := nearest(name, s.LiveEntries(), 1); len(home) == 1 && home[0] == s.self.Instance {
+			s.coordinateGroup(name, s.config.Inventory().Groups[name])
+		}
+	}
+}
+
+func (s *State) coordinateGroup(name string, group operator.Group) {
+	if s.groups == nil {
+		s.groups = make(map[string]*coordinated)
+	}
+	g := s.groups[name]
+	if g == nil {
+		g = new(coordinated)
+		s.groups[name] = g
+	}
+	members, whole := s.members(name, group)
+	if !whole || s.now.Sub(g.at) < proposeEvery {
+		return
+	}
+	position, formed, current := common(members)
+	wanted := MapVersion(group.Map)
+	switch {
+	case !formed:
+		g.generation = max(g.generation, position.Generation) + 1
+		s.propose(name, g, members, Proposal{Map: wanted, At: Position{Generation: g.generation}})
+	case current != wanted:
+		g.lead = min(max(firstLead, 2*g.lead), maxLead)
+		position.Step += g.lead
+		s.propose(name, g, members, Proposal{Map: wanted, At: position})
+	default:
+		g.lead = 0
+	}
+}
+
+// members lists a group's ranks in order, if every one was heard of lately.
+func (s *State) members(name string, group operator.Group) ([]member, bool) {
+	members := make([]member, group.Ranks)
+	count := 0
+	for _, b := range s.Peers() {
+		if s.config.Inventory().Instances[b.Instance].Group != name {
+			continue
+		}
+		for _, r := range b.Ranks {
+			if r.Rank < group.Ranks && members[r.Rank].instance == "" {
+				members[r.Rank] = member{RankState: r, instance: b.Instance}
+				count++
+			}
+		}
+	}
+	return members, count == group.Ranks
+}
+
+// common is the latest position of the ranks, whether all are of one generation,
+// and the map that they use. Ranks that differ in the map are between two steps.
+func common(members []member) (latest Position, formed bool, current MapVersion) {
+	formed = true
+	for _, m := range members {
+		if latest.Before(m.Next) {
+			latest = m.Next
+		}
+		current = max(current, m.Map)
+	}
+	for _, m := range members {
+		formed = formed && m.Next.Generation == latest.Generation && latest.Generation > 0
+	}
+	return latest, formed, current
+}
+
+func (s *State) propose(name string, g *coordinated, members []member, p Proposal) {
+	claim, _ := s.config.Fencing(s.self.Instance)
+	s.proposals++
+	p.Fencing, p.Number = claim.Fencing, s.proposals
+	for _, m := range members {
+		p.Incarnations = append(p.Incarnations, m.Incarnation)
+	}
+	g.at = s.now
+	for rank, m := range members {
+		s.emit(Propose{Target: m.instance, Group: name, Rank: rank, Proposal: p})
+	}
+	s.emit(Decided{Code: DecisionPropose, Chosen: name, Reason: proposalReason(p)})
+}
+
+func proposalReason(p Proposal) string {
+	if p.At.Step == 0 {
+		return "form"
+	}
+	return "switch"
+}
--- /dev/null
+++ b/shared/control/coordinator_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"chervilswitch.example/shared/operator"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// groupWorld has one entry that hears the agents of a group of two ranks.
+func groupWorld(t *testing.T) (*world, *process, func(RankState) []Propose) {
+	w := newWorld(t)
+	v := testInventory()
+	edits := []operator.Edit{{
+		Key:   operator.Key{Collection: operator.Groups, Name: "g"},
+		Value: []byte(`{"service":"assistant","ranks":2,"layers":1,"experts":4,"slots":2,"map":5}`),
+	}}
+	for rank, name := range []string{"model-a", "model-b"} {
+		value := fmt.Sprintf(`{"dataCentre":%q,"role":"agent","peer":"10.0.0.1:9","service":"assistant","group":"g","ranks":[%d]}`, v.Instances[name].DataCentre, rank)
+		edits = append(edits, operator.Edit{Key: operator.Key{Collection: operator.Instances, Name: name}, Value: []byte(value)})
+	}
+	w.publish("group", edits...)
+	e := w.start("entry-a")
+	tell := func(state RankState) []Propose {
+		w.now = w.now.Add(proposeEvery)
+		w.sync(e)
+		for rank, name := range []string{"model-a", "model-b"} {
+			state.Rank, state.Incarnation = rank, 1
+			w.send(e, PeerAnswer{AskedAt: w.now, Beat: Beat{
+				Instance: name, DataCentre: v.Instances[name].DataCentre, Role: operator.RoleAgent,
+				EvidenceAge: -1, Ranks: []RankState{state},
+			}})
+		}
+		w.send(e, Tick{})
+		var proposals []Propose
+		for _, effect := range e.steps[len(e.steps)-1].effects {
+			if p, ok := effect.(Propose); ok {
+				proposals = append(proposals, p)
+			}
+		}
+		return proposals
+	}
+	return w, e, tell
+}
+
+func TestCoordinatorFormsThenSwitches(t *testing.T) {
+	c := qt.New(t)
+	_, _, tell := groupWorld(t)
+	forms := tell(RankState{})
+	c.Assert(forms, qt.HasLen, 2)
+	c.Assert(forms[0].Proposal.At, qt.Equals, Position{Generation: 1})
+	c.Assert(forms[0].Proposal.Map, qt.Equals, MapVersion(5))
+	c.Assert(tell(RankState{Next: Position{Generation: 1, Step: 9}, Map: 5}), qt.HasLen, 0)
+}
+
+func TestLeadGrowsUntilRanksArmInTime(t *testing.T) {
+	c := qt.New(t)
+	_, _, tell := groupWorld(t)
+	lead := uint64(0)
+	for i := range uint64(6) {
+		next := Position{Generation: 1, Step: 1000 * i}
+		proposals := tell(RankState{Next: next, Map: 4}) // They passed the step before they heard.
+		c.Assert(proposals, qt.HasLen, 2)
+		c.Assert(proposals[0].Proposal.At.Step-next.Step > lead, qt.IsTrue)
+		lead = proposals[0].Proposal.At.Step - next.Step
+	}
+	c.Assert(lead > 1000, qt.IsTrue)
+	c.Assert(tell(RankState{Next: Position{Generation: 1, Step: 9000}, Map: 5}), qt.HasLen, 0)
+	again := tell(RankState{Next: Position{Generation: 1, Step: 9000}, Map: 4})
+	c.Assert(again[0].Proposal.At.Step, qt.Equals, uint64(9000+firstLead))
+}
--- a/shared/control/decision.go
+++ b/shared/control/decision.go
@@ -11,4 +11,6 @@
 	DecisionLimit  DecisionCode = 2103
 	DecisionKey    DecisionCode = 2104
 	DecisionMap    DecisionCode = 2201
+	// DecisionPropose is a coordinator's proposal to a group.
+	DecisionPropose DecisionCode = 2202
 )
--- a/shared/control/effect.go
+++ b/shared/control/effect.go
@@ -90,6 +90,14 @@
 	Output RankOutput
 }
 
+// Propose sends a proposal to one rank of a group.
+type Propose struct {
+	Target   string
+	Group    string
+	Rank     int
+	Proposal Proposal
+}
+
 // Changed says that the configuration or the gate changed.
 type Changed struct {
 	Applied  platform.Offset
@@ -108,4 +116,5 @@
 func (Refuse) effect()     {}
 func (Decided) effect()    {}
 func (RankEffect) effect() {}
+func (Propose) effect()    {}
 func (Changed) effect()    {}
--- a/shared/control/evidence.go
+++ b/shared/control/evidence.go
@@ -105,6 +105,7 @@
 		EvidenceAge:    -1,
 		EvidenceOffset: s.evidence.offset,
 		Load:           s.agent.load(s),
+		Ranks:          s.rankStates(),
 	}
 	if !s.evidence.at.IsZero() {
 		b.EvidenceAge = max(0, s.now.Sub(s.evidence.at))
--- a/shared/control/rank.go
+++ b/shared/control/rank.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 
+	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/platform"
 )
 
@@ -152,7 +153,6 @@
 	// Only a proposal that forms a later generation may join others there.
 	open     []*ballot
 	waiting  *ballot
-	fencing  platform.Offset
 	holding  bool
 	outgoing []RankOutput
 }
@@ -239,9 +239,10 @@
 	}
 }
 
-// mayArm tells whether the rank can still promise to hold before a position.
+// mayArm tells whether the rank can still promise to hold before a position. It
+// does not matter who proposes: a coordinator with an older claim may take over.
 func (r *Rank) mayArm(p *Proposal) bool {
-	if p.Fencing < r.fencing || !r.next.Before(p.At) {
+	if !r.next.Before(p.At) {
 		return false
 	}
 	if r.waiting != nil && r.waiting.proposal.ID() != p.ID() {
@@ -262,7 +263,6 @@
 }
 
 func (r *Rank) arm(b *ballot) {
-	r.fencing = b.proposal.Fencing
 	r.open = append(r.open, b)
 	r.waiting = nil
 	r.vote(b, VoteArmed)
@@ -409,6 +409,8 @@
 	if at.Generation == r.next.Generation && r.next.Before(at) {
 		return
 	}
+	// A step of an older generation that has begun can never end.
+	r.holding = r.holding || at.Generation > r.next.Generation
 	r.open = nil
 	r.next = at
 	r.current = b.proposal.Map
@@ -449,9 +451,28 @@
 	}
 }
 
-// AddRank makes the process decide for a rank beside its target.
-func (s *State) AddRank(rank int) {
-	s.ranks[rank] = NewRank(rank, s.self.Incarnation)
+// updateRanks begins to decide for the ranks that the inventory places here.
+func (s *State) updateRanks() {
+	if s.self.Role != operator.RoleAgent {
+		return
+	}
+	for _, rank := range s.config.Inventory().Instances[s.self.Instance].Ranks {
+		if _, ok := s.ranks[rank]; ok {
+			continue
+		}
+		s.ranks[rank] = NewRank(rank, s.self.Incarnation)
+		s.emitRank(rank, s.ranks[rank].Reduce(RankReached{}))
+	}
+}
+
+// rankStates tells where the ranks stand that this process decides for.
+func (s *State) rankStates() []RankState {
+	var states []RankState
+	for _, number := range s.rankNumbers() {
+		r := s.ranks[number]
+		states = append(states, RankState{Rank: number, Incarnation: r.incarnation, Next: r.next, Map: r.current})
+	}
+	return states
 }
 
 func (s *State) rankNumbers() []int {
--- a/shared/control/rank_test.go
+++ b/shared/control/rank_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"chervilswitch.example/shared/platform"
+
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
@@ -49,7 +51,7 @@
 		case RankAsk:
 			g.network = append(g.network, rankMessage{to: o.To, input: RankAsked{Proposal: o.Proposal, From: from}})
 		case RankFetch:
-			g.fetching = append(g.fetching, rankMessage{to: from, input: RankFetched{Map: o.Map}})
+			g.fetching = append(g.fetching, rankMessage{to: from, input: RankFetched(o)})
 		case RankGo:
 			g.run(from, o)
 		}
@@ -124,7 +126,7 @@
 	c := qt.New(t)
 	g := newRankGroup()
 	g.form(1, 1, 7)
-	p := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 1}, Incarnations: []uint64{1, 1, 1}}
+	p := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 2}, Incarnations: []uint64{1, 1, 1}}
 	g.propose(p, 2)
 	m := g.network[0]
 	g.network = nil
@@ -141,7 +143,7 @@
 		g.do(1, RankReached{})
 		g.deliverAll()
 	}
-	_, ran := g.used[Position{Generation: 1, Step: 1}]
+	_, ran := g.used[Position{Generation: 1, Step: 2}]
 	c.Assert(ran, qt.IsFalse, qt.Commentf("a rank guessed a vote that died with its voter"))
 	g.form(3, 2, 7)
 	for rank := range g.ranks {
@@ -228,8 +230,8 @@
 	g := newRankGroup()
 	g.form(1, 1, 7)
 	named := []uint64{1, 1, 1}
-	first := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 1}, Incarnations: named}
-	second := Proposal{Fencing: 1, Number: 3, Map: 9, At: Position{Generation: 1, Step: 1}, Incarnations: named}
+	first := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 2}, Incarnations: named}
+	second := Proposal{Fencing: 1, Number: 3, Map: 9, At: Position{Generation: 1, Step: 2}, Incarnations: named}
 	g.ranks[0].ready[8], g.ranks[1].ready[9] = true, true
 	g.do(0, RankProposed{Proposal: first}) // Both coordinators die after one message.
 	g.do(1, RankProposed{Proposal: second})
@@ -240,8 +242,8 @@
 		}
 		g.deliverAll()
 	}
-	c.Assert(g.used[Position{Generation: 1, Step: 1}], qt.Equals, MapVersion(7))
-	c.Assert(g.ran[0].Step >= 1 && g.ran[1].Step >= 1, qt.IsTrue)
+	c.Assert(g.used[Position{Generation: 1, Step: 2}], qt.Equals, MapVersion(7))
+	c.Assert(g.ran[0].Step >= 2 && g.ran[1].Step >= 2, qt.IsTrue)
 }
 
 func TestRankPastTheStepRefuses(t *testing.T) {
@@ -269,13 +271,14 @@
 	c := qt.New(t)
 	g := newRankGroup()
 	g.form(1, 1, 7)
-	p := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 1}, Incarnations: []uint64{1, 1, 1}}
+	p := Proposal{Fencing: 1, Number: 2, Map: 8, At: Position{Generation: 1, Step: 2}, Incarnations: []uint64{1, 1, 1}}
 	g.ranks[0].ready[8] = true
 	g.do(0, RankProposed{Proposal: p})
 	g.do(0, RankReached{})
+	g.do(0, RankReached{}) // It holds before step 2.
 	g.do(0, RankVoted{Proposal: p.ID(), From: 1, Incarnation: 2, Vote: VoteRefused})
 	g.do(0, RankReached{})
-	_, ran := g.used[Position{Generation: 1, Step: 1}]
+	_, ran := g.used[Position{Generation: 1, Step: 2}]
 	c.Assert(ran, qt.IsFalse)
 }
 
@@ -356,3 +359,26 @@
 	}
 	c.Assert(g.broken, qt.Equals, "")
 }
+
+// TestOlderClaimMayTakeOver: the coordinator with the newest claim may be the one
+// that died.
+func TestOlderClaimMayTakeOver(t *testing.T) {
+	c := qt.New(t)
+	g := newRankGroup()
+	g.form(1, 1, 7)
+	named := []uint64{1, 1, 1}
+	for i, fencing := range []platform.Offset{9, 3} {
+		next := g.ranks[0].Next()
+		p := Proposal{Fencing: fencing, Number: 2, Map: MapVersion(8 + i), At: Position{Generation: 1, Step: next.Step + 1}, Incarnations: named}
+		for rank := range g.ranks {
+			g.propose(p, rank)
+		}
+		g.deliverAll()
+		for range 2 {
+			for rank := range g.ranks {
+				g.do(rank, RankReached{})
+			}
+		}
+		c.Assert(g.used[p.At], qt.Equals, p.Map)
+	}
+}
--- a/shared/control/state.go
+++ b/shared/control/state.go
@@ -43,6 +43,10 @@
 	entry entryState
 	agent agentState
 	ranks map[int]*Rank
+	// groups is what this entry proposed to each group that it coordinates.
+	groups map[string]*coordinated
+	// proposals numbers this incarnation's proposals.
+	proposals uint64
 
 	effects []Effect
 }
@@ -122,6 +126,7 @@
 	s.writeSnapshot()
 	s.agent.onTick(s)
 	s.entry.onTick(s)
+	s.coordinate()
 	for _, rank := range s.rankNumbers() {
 		s.emitRank(rank, s.ranks[rank].Tick())
 	}
@@ -163,6 +168,7 @@
 		return
 	}
 	s.checkClaim()
+	s.updateRanks()
 	s.entry.onConfig(s)
 	s.emit(Changed{Applied: s.config.Applied(), Outcomes: outcomes})
 }
--- a/shared/control/types.go
+++ b/shared/control/types.go
@@ -138,6 +138,16 @@
 	EvidenceAge    time.Duration
 	EvidenceOffset platform.Offset
 	Load           Load
+	// Ranks are the ranks of a lock-step group that an agent decides for.
+	Ranks []RankState
+}
+
+// RankState is where one rank stands.
+type RankState struct {
+	Rank        int
+	Incarnation uint64
+	Next        Position
+	Map         MapVersion
 }
 
 // DecisionCode numbers the kinds of decision for the log.
--- a/shared/control/world_test.go
+++ b/shared/control/world_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"reflect"
@@ -236,14 +235,6 @@
 	return p.verdicts[attempt]
 }
 
-func edit[T any](t fataler, c operator.Collection, name string, value T) operator.Edit {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return operator.Edit{Key: operator.Key{Collection: c, Name: name}, Value: raw}
-}
-
 // TestSameEventsSameEffects replays what every process saw through a new state.
 func TestSameEventsSameEffects(t *testing.T) {
 	c := qt.New(t)
@@ -258,13 +249,10 @@
 	w.publish("out", centreEdit("a", true))
 	w.pass(time.Second, nil, nil)
 	for _, p := range w.processes {
-		again := NewState(p.steps0())
+		again := NewState(p.state.self)
 		for _, s := range p.steps {
 			effects := again.Reduce(s.at, s.event)
 			c.Assert(reflect.DeepEqual(effects, s.effects), qt.IsTrue, qt.Commentf("%s: %#v", p.name, s.event))
 		}
 	}
 }
-
-// steps0 is the identity that the process began with.
-func (p *process) steps0() Identity { return p.state.self }
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -27,6 +27,7 @@
 	LimitChanged    Event = 2103
 	KeyJoined       Event = 2104
 	MapAdopted      Event = 2201
+	MapProposed     Event = 2202
 )
 
 // names gives each event's stable name.
@@ -50,6 +51,7 @@
 	LimitChanged:    "limitChanged",
 	KeyJoined:       "keyJoined",
 	MapAdopted:      "mapAdopted",
+	MapProposed:     "mapProposed",
 }
 
 // All lists every event with its name.
--- a/shared/operator/check.go
+++ b/shared/operator/check.go
@@ -67,9 +67,15 @@
 		if _, ok := v.Services[instance.Service]; !ok {
 			faults.add(k, "service", "service %q does not exist", instance.Service)
 		}
-		if _, ok := v.Groups[instance.Group]; instance.Group != "" && !ok {
+		group, ok := v.Groups[instance.Group]
+		if instance.Group != "" && !ok {
 			faults.add(k, "group", "group %q does not exist", instance.Group)
 		}
+		for i, rank := range instance.Ranks {
+			if rank < 0 || rank >= group.Ranks {
+				faults.add(k, fmt.Sprintf("ranks[%d]", i), "%d is not one of the %d ranks of group %q", rank, group.Ranks, instance.Group)
+			}
+		}
 	default:
 		faults.add(k, "role", "%q is neither %q nor %q", instance.Role, RoleEntry, RoleAgent)
 	}
--- a/shared/operator/inventory.go
+++ b/shared/operator/inventory.go
@@ -54,6 +54,8 @@
 	Service string `json:"service,omitempty"`
 	// Group is the lock-step group that the target's ranks belong to.
 	Group string `json:"group,omitempty"`
+	// Ranks are the group's ranks that run on the target.
+	Ranks []int `json:"ranks,omitempty"`
 	// Leaving means that the target must get no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	// ChecksFencing says that the target refuses orders with an old fencing number.
@@ -92,6 +94,8 @@
 	Experts int    `json:"experts"`
 	// Slots is the number of experts a rank can hold for each layer.
 	Slots int `json:"slots"`
+	// Map is the version of the expert map that the group must use.
+	Map uint64 `json:"map,omitempty"`
 }
 
 // Organisation is a customer with the hashes of its keys.
--- a/shared/peer/convert.go
+++ b/shared/peer/convert.go
@@ -21,9 +21,32 @@
 		EvidenceAge:    int64(b.EvidenceAge),
 		EvidenceOffset: uint64(b.EvidenceOffset),
 		Load:           NewLoad(b.Load),
+		Ranks:          newRankStates(b.Ranks),
 	}
 }
 
+func newRankStates(states []control.RankState) []*RankState {
+	encoded := make([]*RankState, 0, len(states))
+	for _, r := range states {
+		encoded = append(encoded, &RankState{
+			Rank: int32(r.Rank), Incarnation: r.Incarnation,
+			Generation: r.Next.Generation, Step: r.Next.Step, Map: uint64(r.Map),
+		})
+	}
+	return encoded
+}
+
+func (x *Beat) rankStates() []control.RankState {
+	var states []control.RankState
+	for _, r := range x.GetRanks() {
+		states = append(states, control.RankState{
+			Rank: int(r.GetRank()), Incarnation: r.GetIncarnation(),
+			Next: control.Position{Generation: r.GetGeneration(), Step: r.GetStep()}, Map: control.MapVersion(r.GetMap()),
+		})
+	}
+	return states
+}
+
 // Control decodes a process's state.
 func (x *Beat) Control() control.Beat {
 	return control.Beat{
@@ -36,6 +59,7 @@
 		EvidenceAge:    time.Duration(x.GetEvidenceAge()),
 		EvidenceOffset: platform.Offset(x.GetEvidenceOffset()),
 		Load:           x.GetLoad().Control(),
+		Ranks:          x.rankStates(),
 	}
 }
 
--- a/shared/peer/node.go
+++ b/shared/peer/node.go
@@ -170,6 +170,8 @@
 			n.onChanged(ctx, effect, group)
 		case control.Decided:
 			n.logDecision(effect)
+		case control.Propose:
+			n.sendRank(effect.Target, NewProposed(effect.Group, effect.Rank, effect.Proposal))
 		default:
 			n.options.Handle(n.state, effect)
 		}
@@ -235,6 +237,9 @@
 		}
 		asked := time.Now()
 		page, err := n.options.Platform.Read(ctx, stream, next, wait)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			events.Log(n.options.Logger, events.LogUnreadable, log.Fields{"stream": stream, "error": err.Error()})
 			sleep(ctx, readAgain)
--- a/shared/peer/peers.go
+++ b/shared/peer/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -218,3 +219,38 @@
 	}
 	return err.Error()
 }
+
+// SendRank sends what one rank says to another, through the instance that
+// decides for it. A lost message is sent again by the rank that holds.
+func (n *Node) SendRank(from int, o control.RankOutput) {
+	view := n.View()
+	group := view.Inventory.Instances[n.options.Identity.Instance].Group
+	m, ok := NewRankMessage(group, from, o)
+	if !ok {
+		return
+	}
+	for name, instance := range view.Inventory.Instances {
+		if instance.Group == group && slices.Contains(instance.Ranks, int(m.GetTo())) {
+			n.sendRank(name, m)
+		}
+	}
+}
+
+// sendRank does not block: it may be called on the control goroutine.
+func (n *Node) sendRank(target string, m *RankMessage) {
+	if target == n.options.Identity.Instance {
+		if event, ok := m.Control(); ok {
+			go n.Send(event)
+		}
+		return
+	}
+	link, ok := n.Link(target)
+	if !ok {
+		return
+	}
+	go func() {
+		if s, err := link.Open(&Open{Kind: &Open_Rank{Rank: m}}); err == nil {
+			_ = s.Close()
+		}
+	}()
+}
