--- a/demo/site/site.go
+++ b/demo/site/site.go
@@ -52,6 +52,9 @@
 	WarmLimit   int
 	PlainDelay  time.Duration
 	AddressKeep time.Duration
+	// Between, if set, gives the address that leads others to an agent, such as
+	// that of a faulty network in a test.
+	Between func(agent netip.AddrPort) netip.AddrPort
 	// Ranks makes the replicas one lock-step group with a rank on each.
 	Ranks  bool
 	Logger log.Interface
@@ -255,6 +258,9 @@
 		return err
 	}
 	instance := operator.Instance{DataCentre: dataCentre, Role: operator.RoleAgent, Peer: common.Peer, Service: service}
+	if s.options.Between != nil {
+		instance.Peer = s.options.Between(common.Peer)
+	}
 	if s.options.Ranks && reports {
 		instance.Group, instance.Ranks = GroupName, []int{len(s.Engines) - 1}
 	}
