--- a/agent/target/agent.go
+++ b/agent/target/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -99,7 +98,7 @@
 func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
 	hard, cancel := a.ctx, a.kill
 	defer cancel()
-	listener, dialTLS, err := a.secure(listener)
+	listener, dialTLS, err := a.options.PeerTLS.Secure(listener)
 	if err != nil {
 		return err
 	}
@@ -128,22 +127,6 @@
 // Kill ends the agent at once, whatever is in flight.
 func (a *Agent) Kill() { a.kill() }
 
-func (a *Agent) secure(listener net.Listener) (net.Listener, *tls.Config, error) {
-	files := a.options.PeerTLS
-	if files == nil {
-		return listener, nil, nil
-	}
-	server, err := files.Server()
-	if err != nil {
-		return nil, nil, err
-	}
-	client, err := files.Client()
-	if err != nil {
-		return nil, nil, err
-	}
-	return tls.NewListener(listener, server), client, nil
-}
-
 func (a *Agent) nodeOptions() peer.Options {
 	return peer.Options{
 		Identity: control.Identity{
--- a/agent/target/options.go
+++ b/agent/target/options.go
@@ -6,8 +6,6 @@
 	"net/netip"
 
 	"chervilswitch.example/shared/settings"
-
-	"github.com/integrii/flaggy"
 )
 
 // The exit codes.
@@ -29,18 +27,9 @@
 
 // ParseOptions reads the command line and the settings file that it names.
 func ParseOptions(arguments []string) (Options, error) {
-	var file string
-	parser := flaggy.NewParser("chervil-agent")
-	parser.Description = "Admits and forwards requests to the target on this instance."
-	parser.String(&file, "s", "settings", "JSON file with the settings")
-	if err := parser.ParseArgs(arguments); err != nil {
-		return Options{}, settings.ErrInvalid.Wrap(err, "command line")
-	}
-	if file == "" {
-		return Options{}, settings.ErrInvalid.New("--settings FILE is needed")
-	}
 	var options Options
-	if err := settings.Read(file, &options); err != nil {
+	file, err := settings.ParseCommand("chervil-agent", "Admits and forwards requests to the target on this instance.", arguments, &options)
+	if err != nil {
 		return Options{}, err
 	}
 	return options, options.check(file)
--- a/demo/site/site.go
+++ b/demo/site/site.go
@@ -19,6 +19,7 @@
 	"chervilswitch.example/operate/desk"
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/platform"
 	"chervilswitch.example/shared/settings"
 	"chervilswitch.example/standin/engine"
@@ -370,13 +371,13 @@
 		return false
 	}
 	defer response.Body.Close()
-	var status caller.Status
+	var status peer.Status
 	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
 		return false
 	}
 	open := 0
-	for _, peer := range status.Peers {
-		if peer.Role == string(operator.RoleAgent) && !peer.Closed {
+	for _, p := range status.Peers {
+		if p.Role == string(operator.RoleAgent) && !p.Closed {
 			open++
 		}
 	}
--- a/entry/caller/entry.go
+++ b/entry/caller/entry.go
@@ -83,7 +83,11 @@
 func (e *Entry) Serve(ctx context.Context, callers, peers net.Listener) error {
 	hard, cancel := e.ctx, e.kill
 	defer cancel()
-	callers, peers, dialTLS, err := e.secure(callers, peers)
+	callers, err := e.secure(callers)
+	if err != nil {
+		return err
+	}
+	peers, dialTLS, err := e.options.PeerTLS.Secure(peers)
 	if err != nil {
 		return err
 	}
@@ -139,27 +143,17 @@
 	_ = server.Shutdown(ctx) // It waits for requests; the context ends only after it.
 }
 
-func (e *Entry) secure(callers, peers net.Listener) (securedCallers, securedPeers net.Listener, dial *tls.Config, err error) {
-	if files := e.options.CallersTLS; files != nil {
-		server, err := files.Server()
-		if err != nil {
-			return nil, nil, nil, err
-		}
-		callers = tls.NewListener(callers, server)
-	}
-	files := e.options.PeerTLS
+// secure puts TLS on the callers' listener if it is set.
+func (e *Entry) secure(callers net.Listener) (net.Listener, error) {
+	files := e.options.CallersTLS
 	if files == nil {
-		return callers, peers, nil, nil
+		return callers, nil
 	}
 	server, err := files.Server()
 	if err != nil {
-		return nil, nil, nil, err
-	}
-	client, err := files.Client()
-	if err != nil {
-		return nil, nil, nil, err
+		return nil, err
 	}
-	return callers, tls.NewListener(peers, server), client, nil
+	return tls.NewListener(callers, server), nil
 }
 
 func (e *Entry) nodeOptions() peer.Options {
--- a/entry/caller/operators.go
+++ b/entry/caller/operators.go
@@ -12,7 +12,7 @@
 
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/events"
-	"chervilswitch.example/shared/platform"
+	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/settings"
 
 	promclient "github.com/prometheus/client_golang/prometheus"
@@ -44,29 +44,6 @@
 	m.scope.Tagged(map[string]string{"how": how, "outcome": string(outcome), "code": string(code)}).Counter("requests_total").Inc(1)
 }
 
-// Status is what an entry tells operators of itself and its peers.
-type Status struct {
-	Instance   string          `json:"instance"`
-	DataCentre string          `json:"dataCentre"`
-	Gate       string          `json:"gate"`
-	Applied    platform.Offset `json:"applied"`
-	Latest     platform.Offset `json:"latest"`
-	Draining   bool            `json:"draining"`
-	Peers      []PeerStatus    `json:"peers"`
-}
-
-// PeerStatus is a peer that answered in the last moments.
-type PeerStatus struct {
-	Instance   string          `json:"instance"`
-	DataCentre string          `json:"dataCentre"`
-	Role       string          `json:"role"`
-	Applied    platform.Offset `json:"applied"`
-	Running    int             `json:"running"`
-	Limit      int             `json:"limit"`
-	Cold       bool            `json:"cold"`
-	Closed     bool            `json:"closed"`
-}
-
 // serveOperators answers health checks, status, metrics and profiles.
 func (e *Entry) serveOperators(ctx context.Context) {
 	mux := http.NewServeMux()
@@ -103,16 +80,16 @@
 	_ = encoder.Encode(e.status(r.Context())) // The operator sees a cut-off answer.
 }
 
-func (e *Entry) status(ctx context.Context) Status {
-	var status Status
+func (e *Entry) status(ctx context.Context) peer.Status {
+	var status peer.Status
 	e.node.Query(ctx, func(s *control.State) {
 		self := s.Self()
-		status = Status{
+		status = peer.Status{
 			Instance: self.Instance, DataCentre: self.DataCentre, Gate: string(s.Gate()),
 			Applied: s.Config().Applied(), Latest: s.Config().Latest(), Draining: s.Draining(),
 		}
 		for _, b := range s.Peers() {
-			status.Peers = append(status.Peers, PeerStatus{
+			status.Peers = append(status.Peers, peer.PeerStatus{
 				Instance: b.Instance, DataCentre: b.DataCentre, Role: string(b.Role), Applied: b.Applied,
 				Running: b.Load.Running, Limit: b.Load.Limit, Cold: b.Load.Cold, Closed: b.Load.Closed,
 			})
--- a/entry/caller/options.go
+++ b/entry/caller/options.go
@@ -8,8 +8,6 @@
 
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/settings"
-
-	"github.com/integrii/flaggy"
 )
 
 // The exit codes.
@@ -32,18 +30,9 @@
 
 // ParseOptions reads the command line and the settings file that it names.
 func ParseOptions(arguments []string) (Options, error) {
-	var file string
-	parser := flaggy.NewParser("chervil-entry")
-	parser.Description = "Takes callers' requests and sends them to targets."
-	parser.String(&file, "s", "settings", "JSON file with the settings")
-	if err := parser.ParseArgs(arguments); err != nil {
-		return Options{}, settings.ErrInvalid.Wrap(err, "command line")
-	}
-	if file == "" {
-		return Options{}, settings.ErrInvalid.New("--settings FILE is needed")
-	}
 	var options Options
-	if err := settings.Read(file, &options); err != nil {
+	file, err := settings.ParseCommand("chervil-entry", "Takes callers' requests and sends them to targets.", arguments, &options)
+	if err != nil {
 		return Options{}, err
 	}
 	return options, options.check(file)
--- a/operate/desk/commands.go
+++ b/operate/desk/commands.go
@@ -16,6 +16,7 @@
 
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/platform"
 	"chervilswitch.example/shared/settings"
 )
@@ -209,8 +210,8 @@
 			continue
 		}
 		applied[status.Instance] = max(applied[status.Instance], status.Applied)
-		for _, peer := range status.Peers {
-			applied[peer.Instance] = max(applied[peer.Instance], peer.Applied)
+		for _, p := range status.Peers {
+			applied[p.Instance] = max(applied[p.Instance], p.Applied)
 		}
 	}
 	counted := inForce{Of: len(inventory.Instances)}
@@ -225,29 +226,8 @@
 	return counted
 }
 
-// entryStatus is an entry's answer to GET /status.
-type entryStatus struct {
-	Instance   string          `json:"instance"`
-	DataCentre string          `json:"dataCentre"`
-	Gate       string          `json:"gate"`
-	Applied    platform.Offset `json:"applied"`
-	Draining   bool            `json:"draining"`
-	Peers      []peerStatus    `json:"peers"`
-}
-
-type peerStatus struct {
-	Instance   string          `json:"instance"`
-	DataCentre string          `json:"dataCentre"`
-	Role       string          `json:"role"`
-	Applied    platform.Offset `json:"applied"`
-	Running    int             `json:"running"`
-	Limit      int             `json:"limit"`
-	Cold       bool            `json:"cold"`
-	Closed     bool            `json:"closed"`
-}
-
-func (d *desk) fetchStatus(ctx context.Context, address netip.AddrPort) (entryStatus, error) {
-	var status entryStatus
+func (d *desk) fetchStatus(ctx context.Context, address netip.AddrPort) (peer.Status, error) {
+	var status peer.Status
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/status", nil)
 	if err != nil {
 		return status, err
@@ -350,7 +330,7 @@
 	return failed
 }
 
-func describeStatus(s entryStatus) string {
+func describeStatus(s peer.Status) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s in %s: gate %s, applied %d, draining %t", s.Instance, s.DataCentre, s.Gate, s.Applied, s.Draining)
 	for _, p := range s.Peers {
--- a/shared/control/config.go
+++ b/shared/control/config.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"chervilswitch.example/shared/operator"
@@ -388,11 +390,5 @@
 	return string(raw)
 }
 
-func sortedKeys[T any](m map[string]T) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
+// sortedKeys gives a map's keys in order, so that nothing depends on the map's own.
+func sortedKeys[K cmp.Ordered, T any](m map[K]T) []K { return slices.Sorted(maps.Keys(m)) }
--- a/shared/control/entry.go
+++ b/shared/control/entry.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"chervilswitch.example/shared/operator"
@@ -54,16 +53,6 @@
 	moved int
 }
 
-// pool is the targets of one service as this entry uses them.
-type pool struct {
-	candidates []Candidate
-	incarnate  []uint64
-	reportedAt []time.Time
-	index      map[string]int
-	prefixes   PrefixTable
-	queue      fairQueue
-}
-
 // entryState is the part of the state that only entries use.
 type entryState struct {
 	pools    map[string]*pool
@@ -363,15 +352,6 @@
 	}
 }
 
-func (p *pool) learn(i int, l Load) {
-	c := &p.candidates[i]
-	c.Running, c.Limit, c.FirstOutput = l.Running, l.Limit, l.FirstOutput
-	c.Allowed, c.Sent = l.Credit, 0
-	if l.Closed {
-		c.Allowed = 0
-	}
-}
-
 func (s *entryState) onBeat(st *State, b Beat, restarted bool) {
 	pool := s.pools[b.Service]
 	if pool == nil || b.Role != operator.RoleAgent {
@@ -392,7 +372,7 @@
 
 // onRestarted settles attempts whose agent was replaced: it cannot be asked.
 func (s *entryState) onRestarted(st *State, instance string, incarnation uint64) {
-	for _, id := range s.sortedRequests() {
+	for _, id := range sortedKeys(s.requests) {
 		r := s.requests[id]
 		if r != nil && r.state == attemptLost && r.target == instance && r.incarnation != incarnation {
 			s.onUnknown(st, r, Verdict{Outcome: OutcomeUnknown, Code: CodeIncarnation})
@@ -400,17 +380,8 @@
 	}
 }
 
-func (s *entryState) sortedRequests() []RequestID {
-	ids := make([]RequestID, 0, len(s.requests))
-	for id := range s.requests {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 func (s *entryState) onTick(st *State) {
-	for _, id := range s.sortedRequests() {
+	for _, id := range sortedKeys(s.requests) {
 		s.tickRequest(st, s.requests[id])
 	}
 	for _, service := range sortedKeys(s.pools) {
@@ -443,66 +414,3 @@
 	}
 	s.reattach(st, r)
 }
-
-// onConfig rebuilds the pools whose targets changed.
-func (s *entryState) onConfig(st *State) {
-	if st.self.Role != operator.RoleEntry {
-		return
-	}
-	members := make(map[string][]string)
-	inventory := st.config.Inventory()
-	for _, name := range sortedKeys(inventory.Instances) {
-		if instance := inventory.Instances[name]; instance.Role == operator.RoleAgent {
-			members[instance.Service] = append(members[instance.Service], name)
-		}
-	}
-	if s.pools == nil {
-		s.pools = make(map[string]*pool)
-	}
-	for _, service := range sortedKeys(members) {
-		s.rebuild(st, service, subset(st.self.Instance, members[service]))
-	}
-}
-
-// subset picks the targets that this entry uses, by rendezvous hashing.
-func subset(entry string, names []string) []string {
-	if len(names) <= wholeService {
-		return names
-	}
-	names = nearest(entry, names, subsetTargets)
-	slices.Sort(names)
-	return names
-}
-
-func (s *entryState) rebuild(st *State, service string, names []string) {
-	old := s.pools[service]
-	next := &pool{index: make(map[string]int, len(names))}
-	if old != nil {
-		next.queue = old.queue
-		if slices.Equal(old.names(), names) {
-			return
-		}
-	}
-	for i, name := range names {
-		c := Candidate{Name: name, Near: st.config.Inventory().Instances[name].DataCentre == st.self.DataCentre}
-		incarnation, reportedAt := uint64(0), time.Time{}
-		if old != nil {
-			if j, ok := old.index[name]; ok {
-				c, incarnation, reportedAt = old.candidates[j], old.incarnate[j], old.reportedAt[j]
-			}
-		}
-		next.candidates = append(next.candidates, c)
-		next.incarnate = append(next.incarnate, incarnation)
-		next.reportedAt = append(next.reportedAt, reportedAt)
-		next.index[name] = i
-	}
-	s.pools[service] = next
-}
-
-func (p *pool) names() []string {
-	names := make([]string, len(p.candidates))
-	for i := range p.candidates {
-		names[i] = p.candidates[i].Name
-	}
-	return names
-}
--- /dev/null
+++ b/shared/control/group.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"strconv"
+
+	"chervilswitch.example/shared/operator"
+)
+
+// updateRanks begins to decide for the ranks that the inventory places here.
+func (s *State) updateRanks() {
+	if s.self.Role != operator.RoleAgent {
+		return
+	}
+	for _, rank := range s.config.Inventory().Instances[s.self.Instance].Ranks {
+		if _, ok := s.ranks[rank]; ok {
+			continue
+		}
+		s.ranks[rank] = NewRank(rank, s.self.Incarnation)
+		s.emitRank(rank, s.ranks[rank].Reduce(RankReached{}))
+	}
+}
+
+// rankStates tells where the ranks stand that this process decides for.
+func (s *State) rankStates() []RankState {
+	var states []RankState
+	for _, number := range sortedKeys(s.ranks) {
+		r := s.ranks[number]
+		states = append(states, RankState{Rank: number, Incarnation: r.incarnation, Next: r.next, Map: r.current})
+	}
+	return states
+}
+
+func (s *State) onRank(e RankEvent) {
+	if rank, ok := s.ranks[e.Rank]; ok {
+		s.emitRank(e.Rank, rank.Reduce(e.Step))
+	}
+}
+
+func (s *State) emitRank(rank int, outputs []RankOutput) {
+	for _, o := range outputs {
+		if step, ok := o.(RankGo); ok && step.At.Step == 0 {
+			s.emit(Decided{Code: DecisionMap, Chosen: strconv.FormatUint(uint64(step.Map), 10), Reason: "formed"})
+		}
+		s.emit(RankEffect{Rank: rank, Output: o})
+	}
+}
--- a/shared/control/state.go
+++ b/shared/control/state.go
@@ -127,7 +127,7 @@
 	s.agent.onTick(s)
 	s.entry.onTick(s)
 	s.coordinate()
-	for _, rank := range s.rankNumbers() {
+	for _, rank := range sortedKeys(s.ranks) {
 		s.emitRank(rank, s.ranks[rank].Tick())
 	}
 }
--- a/shared/operator/change.go
+++ b/shared/operator/change.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -185,14 +186,7 @@
 	return raw, nil
 }
 
-func sortedNames[T any](objects map[string]T) []string {
-	names := make([]string, 0, len(objects))
-	for name := range objects {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
+func sortedNames[T any](objects map[string]T) []string { return slices.Sorted(maps.Keys(objects)) }
 
 // Diff lists the edits that turn one inventory into another.
 func Diff(from, to *Inventory) []Edit {
--- /dev/null
+++ b/shared/peer/status.go
@@ -0,0 +1,26 @@
+package peer
+
+import "chervilswitch.example/shared/platform"
+
+// Status is what an entry tells operators of itself and its peers.
+type Status struct {
+	Instance   string          `json:"instance"`
+	DataCentre string          `json:"dataCentre"`
+	Gate       string          `json:"gate"`
+	Applied    platform.Offset `json:"applied"`
+	Latest     platform.Offset `json:"latest"`
+	Draining   bool            `json:"draining"`
+	Peers      []PeerStatus    `json:"peers"`
+}
+
+// PeerStatus is a peer that answered in the last moments.
+type PeerStatus struct {
+	Instance   string          `json:"instance"`
+	DataCentre string          `json:"dataCentre"`
+	Role       string          `json:"role"`
+	Applied    platform.Offset `json:"applied"`
+	Running    int             `json:"running"`
+	Limit      int             `json:"limit"`
+	Cold       bool            `json:"cold"`
+	Closed     bool            `json:"closed"`
+}
--- a/shared/settings/tls.go
+++ b/shared/settings/tls.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -47,6 +48,23 @@
 	return config, nil
 }
 
+// Secure puts mutual TLS on a listener for other processes and gives the
+// configuration to dial them with. Without files both stay plain.
+func (t *TLS) Secure(listener net.Listener) (net.Listener, *tls.Config, error) {
+	if t == nil {
+		return listener, nil, nil
+	}
+	server, err := t.Server()
+	if err != nil {
+		return nil, nil, err
+	}
+	client, err := t.Client()
+	if err != nil {
+		return nil, nil, err
+	}
+	return tls.NewListener(listener, server), client, nil
+}
+
 func (t *TLS) load() (*reloader, *x509.CertPool, error) {
 	r := &reloader{files: *t}
 	if _, err := r.get(); err != nil {
