Check inventories against a published schema

Cause: a mistake in an inventory was named by the first decoding error, without its place in the file.

Change: operate/desk/inventory.schema.json, checked by a library before the checks of references; the error lists every place that does not fit.

--- a/operate/desk/commands.go
+++ b/operate/desk/commands.go
@@ -100,6 +100,9 @@
 }
 
 func (d *desk) load() (*operator.Inventory, error) {
+	if err := checkSchema(d.options.file); err != nil {
+		return nil, err
+	}
 	inventory := new(operator.Inventory)
 	if err := settings.Read(d.options.file, inventory); err != nil {
 		return nil, err
