Never name a generation twice, and reach targets that an entry does not use

(2) At a service of more than 16 targets an entry had no link to a target that it does not use, so that resuming another entry's stream ended as unknown after 5 s.

Change: (1) a generation is made from the coordinator's offset of the log; ranks are named only by the incarnation that the log knows as the newest, and decided for only once it is claimed. (2) An entry dials such a target for the occasion.

Conclusion: the rank's rules need generations that are unique over its lives; the log gives them.

--- a/demo/site/site_test.go
+++ b/demo/site/site_test.go
@@ -391,3 +391,19 @@
 	_, _, mixed := s.Lockstep.Seen()
 	c.Assert(mixed, qt.Equals, 0)
 }
+
+func TestStreamResumesAtEntryThatDoesNotUseTheTarget(t *testing.T) {
+	c := qt.New(t)
+	s := startSite(t, func(o *Options) { o.Replicas, o.Engine.Step = 20, 10*time.Millisecond })
+	const tokens = 30
+	for i := range 6 { // Each entry uses 8 of 20 targets, so that some are not shared.
+		id := fmt.Sprint("job-", i)
+		r := send(t, s, "entry-0", "POST", "/v1/chat/completions", chat(tokens, true), "X-Request-Id", id)
+		first, err := readEvent(bufio.NewReader(r.Body))
+		c.Assert(err, qt.IsNil)
+		r.Body.Close()
+		rest := send(t, s, "entry-2", "GET", "/v1/streams/"+id, "", "Last-Event-ID", first.id)
+		c.Assert(rest.StatusCode, qt.Equals, http.StatusOK)
+		c.Assert(strings.Count(readAll(t, rest), "data: "), qt.Equals, tokens)
+	}
+}
--- a/entry/caller/api.go
+++ b/entry/caller/api.go
@@ -213,8 +213,9 @@
 		if instance.Role != operator.RoleAgent {
 			continue
 		}
-		if link, ok := a.entry.node.Link(name); ok {
+		if link, release, ok := a.entry.node.Reach(ctx, name); ok {
 			sendCancel(link, requestID(organisation, params.Request))
+			release()
 		}
 	}
 	return nil
--- a/entry/caller/exchange.go
+++ b/entry/caller/exchange.go
@@ -206,11 +206,12 @@
 			return false
 		}
 	}
-	link, ok := x.entry.node.Link(target)
+	link, release, ok := x.entry.node.Reach(ctx, target)
 	if !ok {
 		tell(nil, errNotSent)
 		return
 	}
+	defer release()
 	s, err := link.Open(first)
 	if err != nil {
 		tell(nil, err)
--- a/shared/control/coordinator.go
+++ b/shared/control/coordinator.go
@@ -14,6 +14,8 @@
 	// since ranks that are faster than news of them have always passed the step.
 	firstLead = 40
 	maxLead   = 1 << 16
+	// formationsPerOffset is how many generations one offset of the log can name.
+	formationsPerOffset = 1 << 16
 )
 
 // coordinated is what an entry last proposed to a group.
@@ -61,7 +63,7 @@
 	wanted := MapVersion(group.Map)
 	switch {
 	case !formed:
-		g.generation = max(g.generation, position.Generation) + 1
+		g.generation = s.nextGeneration(max(g.generation, position.Generation))
 		s.propose(name, g, members, Proposal{Map: wanted, At: Position{Generation: g.generation}})
 	case current != wanted:
 		g.lead = min(max(firstLead, 2*g.lead), maxLead)
@@ -72,16 +74,26 @@
 	}
 }
 
-// members lists a group's ranks in order, if every one was heard of lately.
+// nextGeneration is later than any generation that was ever proposed to earlier
+// incarnations of the ranks. Members are named only as the log's newest claims
+// know them, so whoever names a newer incarnation has applied a later offset than
+// anyone who named an older one; ranks that all restarted remember nothing.
+func (s *State) nextGeneration(known uint64) uint64 {
+	return max(known, uint64(s.config.Applied())*formationsPerOffset) + 1
+}
+
+// members lists a group's ranks in order, if every one was heard of lately from
+// the incarnation that the log knows as the newest.
 func (s *State) members(name string, group operator.Group) ([]member, bool) {
 	members := make([]member, group.Ranks)
 	count := 0
 	for _, b := range s.Peers() {
-		if s.config.Inventory().Instances[b.Instance].Group != name {
+		claim, claimed := s.config.Fencing(b.Instance)
+		if s.config.Inventory().Instances[b.Instance].Group != name || !claimed || claim.Incarnation != b.Incarnation {
 			continue
 		}
 		for _, r := range b.Ranks {
-			if r.Rank < group.Ranks && members[r.Rank].instance == "" {
+			if r.Incarnation == b.Incarnation && r.Rank < group.Ranks && members[r.Rank].instance == "" {
 				members[r.Rank] = member{RankState: r, instance: b.Instance}
 				count++
 			}
--- a/shared/control/group.go
+++ b/shared/control/group.go
@@ -8,8 +8,8 @@
 
 // updateRanks begins to decide for the ranks that the inventory places here.
 func (s *State) updateRanks() {
-	if s.self.Role != operator.RoleAgent {
-		return
+	if s.self.Role != operator.RoleAgent || !s.claimed {
+		return // The incarnation may still change until it is claimed.
 	}
 	for _, rank := range s.config.Inventory().Instances[s.self.Instance].Ranks {
 		if _, ok := s.ranks[rank]; ok {
--- a/shared/peer/peers.go
+++ b/shared/peer/peers.go
@@ -61,6 +61,23 @@
 	return loop.link, true
 }
 
+// Reach gives the present link to a peer, or dials one that this process does not
+// ask regularly. Release closes what was dialed.
+func (n *Node) Reach(ctx context.Context, name string) (link *Link, release func(), ok bool) {
+	if link, ok := n.Link(name); ok {
+		return link, func() {}, true
+	}
+	instance, known := n.View().Inventory.Instances[name]
+	if !known {
+		return nil, nil, false
+	}
+	link, err := Dial(ctx, instance.Peer, n.tls)
+	if err != nil {
+		return nil, nil, false
+	}
+	return link, func() { _ = link.Close() }, true
+}
+
 func (n *Node) setLink(name string, address netip.AddrPort, link *Link) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
