Carry fencing numbers on orders to engines

Cause: checksFencing stood in the inventory and nothing read it, and orders carried no fencing number.

Change: orders carry the offset of the agent's claim; for a target that does not check it the agent gives an order only while its claim is known to be the newest of late. The demo's replicas are one group of ranks.

Conclusion: what remains is the instant between the check and the send.

--- a/agent/target/ranks.go
+++ b/agent/target/ranks.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"chervilswitch.example/shared/control"
+	"chervilswitch.example/shared/fault"
+	"chervilswitch.example/shared/platform"
 )
 
 const (
@@ -16,6 +19,12 @@
 	orderTimeout = 2 * time.Second
 )
 
+// fencingHeader carries the fencing number of an order.
+const fencingHeader = "X-Fencing-Number"
+
+// errFenced means that this process may not give orders now.
+var errFenced = fault.NewSentinel("target", "fenced")
+
 // handleRank does what the reducer decided for a rank.
 func (a *Agent) handleRank(rank int, output control.RankOutput) {
 	switch o := output.(type) {
@@ -64,6 +73,12 @@
 	if err != nil {
 		return err
 	}
+	fencing, allowed := platform.Offset(0), false
+	a.node.Query(ctx, func(s *control.State) { fencing, allowed = s.Fencing() })
+	if !allowed {
+		return errFenced
+	}
+	request.Header.Set(fencingHeader, strconv.FormatUint(uint64(fencing), 10))
 	response, err := a.client.Do(request)
 	if err != nil {
 		return err
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -57,6 +57,7 @@
 		Entries: entries, Replicas: replicas, Plains: plains, ColdLimit: coldLimit, WarmLimit: warmLimit,
 		Engine:      engine.Options{Step: step, Prefill: prefill, CachedPrefixes: cachedPrompts, ReportLag: reportLag},
 		AddressKeep: time.Second,
+		Ranks:       true,
 		Logger:      &log.Logger{Handler: handler, Level: log.InfoLevel},
 	})
 	if err != nil {
@@ -201,6 +202,10 @@
 	d.check(seen.Whole == 0, "no request was answered")
 	d.say("\ncallers saw: %d whole answers, %d refused as not run, %d unknown or cut visibly", seen.Whole, seen.NotRun, seen.Unknown)
 	d.say("deposits: %d sent, %d ran twice, %d ran though refused; cold targets overloaded: %d", seen.Deposits, twice, notRunButRan, overload)
+	last, steps, mixed := d.site.Lockstep.Seen()
+	d.check(mixed > 0, "a step had two expert maps")
+	d.check(steps == 0, "the group of ranks never ran a step")
+	d.say("the group of %d ranks ran %d steps, %d with two maps; it waits for the killed rank since step %d", replicas, steps, mixed, last.Step)
 	d.say("time to the first token: median %s, 95 in 100 within %s", seen.FirstTokenP50.Round(time.Millisecond), seen.FirstTokenP95.Round(time.Millisecond))
 	if len(d.broken) > 0 {
 		slices.Sort(d.broken)
--- a/shared/control/choice.go
+++ b/shared/control/choice.go
@@ -19,8 +19,6 @@
 	distancePenalty = time.Millisecond
 	// defaultFirstOutput stands in until a target was measured.
 	defaultFirstOutput = 100 * time.Millisecond
-	// spillScore is how many times the best sample's score a cached prefix may cost.
-	spillScore = 1.0
 )
 
 // Candidate is a target as an entry sees it. Sent counts what this entry sent
@@ -113,7 +111,7 @@
 		return best
 	}
 	if cached >= 0 && cached < len(candidates) {
-		consider(cached, prefixSaving*spillScore, "cachedPrefix")
+		consider(cached, prefixSaving, "cachedPrefix")
 	}
 	for range sampledTargets {
 		seed = mix(seed)
--- a/shared/control/group.go
+++ b/shared/control/group.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"chervilswitch.example/shared/operator"
+	"chervilswitch.example/shared/platform"
 )
 
 // updateRanks begins to decide for the ranks that the inventory places here.
@@ -20,6 +21,19 @@
 	}
 }
 
+// Fencing is the number that orders to the target carry: the offset of this
+// process's claim. It is false when an order must not be given: the claim is not
+// the newest, or, for a target that does not check the number itself, it is not
+// known to be the newest a moment ago.
+func (s *State) Fencing() (platform.Offset, bool) {
+	claim, ok := s.config.Fencing(s.self.Instance)
+	if !ok || claim.Incarnation != s.self.Incarnation || s.superseded {
+		return 0, false
+	}
+	checks := s.config.Inventory().Instances[s.self.Instance].ChecksFencing
+	return claim.Fencing, checks || s.Gate().Open()
+}
+
 // rankStates tells where the ranks stand that this process decides for.
 func (s *State) rankStates() []RankState {
 	var states []RankState
--- a/shared/control/once_test.go
+++ b/shared/control/once_test.go
@@ -56,6 +56,26 @@
 	c.Assert(w.submit(old, "r/2", ""), qt.DeepEquals, Verdict{Outcome: OutcomeNotRun, Code: CodeSuperseded})
 }
 
+func TestOrdersNeedTheNewestClaim(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t)
+	w.startAll()
+	old := w.processes["model-a"]
+	before, allowed := old.state.Fencing()
+	c.Assert(allowed, qt.IsTrue)
+	w.now = w.now.Add(10 * time.Second) // Its lease lapsed while it was paused.
+	w.send(old, Tick{})
+	_, allowed = old.state.Fencing()
+	c.Assert(allowed, qt.IsFalse, qt.Commentf("the target does not check, so the agent must"))
+	replacement := w.start("model-a")
+	after, allowed := replacement.state.Fencing()
+	c.Assert(allowed, qt.IsTrue)
+	c.Assert(after > before, qt.IsTrue)
+	w.sync(old)
+	_, allowed = old.state.Fencing()
+	c.Assert(allowed, qt.IsFalse)
+}
+
 func TestLateClaimDoesNotSupersede(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(t)
--- a/shared/operator/inventory.go
+++ b/shared/operator/inventory.go
@@ -59,6 +59,7 @@
 	// Leaving means that the target must get no new work.
 	Leaving bool `json:"leaving,omitempty"`
 	// ChecksFencing says that the target refuses orders with an old fencing number.
+	// Orders to others wait until the agent's own claim is the newest of late.
 	ChecksFencing bool `json:"checksFencing,omitempty"`
 }
 
@@ -172,10 +173,5 @@
 	maxTargetLimit = 100_000
 )
 
-// Windows within which operators' intentions take effect.
-const (
-	// InForceWithin is how soon an accepted change must be followed everywhere.
-	InForceWithin = 3 * time.Second
-	// AddressKeep is how long callers may keep an entry's address.
-	AddressKeep = 30 * time.Second
-)
+// AddressKeep is how long callers may keep an entry's address unless set otherwise.
+const AddressKeep = 30 * time.Second
--- a/standin/engine/ranks.go
+++ b/standin/engine/ranks.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// FencingHeader carries the fencing number of an order.
+const FencingHeader = "X-Fencing-Number"
+
 // Lockstep is the part that the engines of one group share: a step runs only
 // with all ranks, and each is told its map by its own agent.
 type Lockstep struct {
@@ -15,6 +18,10 @@
 
 	mutex sync.Mutex
 	steps map[position]*lockstep
+	// ignoresFencing makes it take orders with an old number, as some engines do.
+	ignoresFencing bool
+	fencing        map[int]uint64
+	refused        int
 	// Mixed counts steps that ranks began with different maps.
 	mixed int
 	last  StepSeen
@@ -34,7 +41,7 @@
 
 // NewLockstep gives a group of ranks with the time of one step.
 func NewLockstep(ranks int, step time.Duration) *Lockstep {
-	return &Lockstep{ranks: ranks, step: step, steps: make(map[position]*lockstep)}
+	return &Lockstep{ranks: ranks, step: step, steps: make(map[position]*lockstep), fencing: make(map[int]uint64)}
 }
 
 // Seen gives the newest whole step, how many there were, and how many steps had
@@ -45,6 +52,32 @@
 	return l.last, l.done, l.mixed
 }
 
+// IgnoreFencing makes the group take orders with an old fencing number.
+func (l *Lockstep) IgnoreFencing() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.ignoresFencing = true
+}
+
+// Refused is the number of orders refused for an old fencing number.
+func (l *Lockstep) Refused() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.refused
+}
+
+// fenced refuses an order whose number is older than the newest seen.
+func (l *Lockstep) fenced(rank int, number uint64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if number < l.fencing[rank] && !l.ignoresFencing {
+		l.refused++
+		return true
+	}
+	l.fencing[rank] = max(l.fencing[rank], number)
+	return false
+}
+
 // Register adds the routes by which an agent orders its ranks.
 func (l *Lockstep) Register(mux *http.ServeMux) {
 	mux.HandleFunc("PUT /ranks/{rank}/maps/{map}", func(w http.ResponseWriter, _ *http.Request) {
@@ -63,6 +96,11 @@
 		}
 		numbers[i] = number
 	}
+	number, err := strconv.ParseUint(r.Header.Get(FencingHeader), 10, 64)
+	if err != nil || l.fenced(int(numbers[0]), number) {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
 	s := l.begin(int(numbers[0]), position{numbers[1], numbers[2]}, numbers[3])
 	select {
 	case <-s.full:
