--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,6 @@
 generate:
 	protoc --go_out=. --go_opt=module=chervilswitch.example -I shared/peer shared/peer/peer.proto
 	cd entry/api && go run github.com/ogen-go/ogen/cmd/ogen@v1.24.0 --target . --package api --clean --config ogen.yml openapi.yaml
+
+bench:
+	go test -run xxx -bench . -benchmem ./shared/control
