Give agents metrics and profiles, and test HTTP's corners

Cause: only entries had metrics; hints, trailers and Expect were handled by sight.

Change: settings.Operators serves health, readiness, metrics and profiles of both daemons; agents count their verdicts. The plain stand-in sends an early hint and a trailer.

Measured: an early hint, a body after 100-continue and a trailer pass through entry and agent, and the hint's field does not stand in the answer.

Conclusion: no fault found.

--- a/agent/target/agent.go
+++ b/agent/target/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -33,8 +32,10 @@
 type Agent struct {
 	options Options
 	node    *peer.Node
-	logger  log.Interface
-	client  *http.Client
+	// operators is the listener for health checks and metrics.
+	operators *settings.Operators
+	logger    log.Interface
+	client    *http.Client
 	// ctx ends all work at once; kill ends it.
 	ctx  context.Context
 	kill context.CancelFunc
@@ -80,6 +81,7 @@
 		steps:   make(map[int]context.CancelFunc),
 	}
 	a.node = peer.NewNode(a.nodeOptions())
+	a.operators = a.newOperators()
 	return a
 }
 
@@ -192,6 +194,7 @@
 }
 
 func (a *Agent) decide(id control.AttemptID, d decision) {
+	a.countVerdict(d.verdict)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if waiter, ok := a.waiters[id]; ok {
@@ -250,24 +253,3 @@
 		o.cancel()
 	}
 }
-
-// serveOperators answers health checks.
-func (a *Agent) serveOperators(ctx context.Context) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, r *http.Request) {
-		var load control.Load
-		a.node.Query(r.Context(), func(s *control.State) { load = s.Load() })
-		if load.Closed {
-			http.Error(w, "takes no new work", http.StatusServiceUnavailable)
-			return
-		}
-		fmt.Fprintln(w, "ready")
-	})
-	server := &http.Server{Addr: a.options.Operators.String(), Handler: mux, ReadHeaderTimeout: settings.HeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		a.logger.WithError(err).Error("operators' listener")
-	}
-}
--- a/demo/site/site_test.go
+++ b/demo/site/site_test.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"testing"
 	"time"
@@ -407,3 +409,27 @@
 		c.Assert(strings.Count(readAll(t, rest), "data: "), qt.Equals, tokens)
 	}
 }
+
+func TestInformationalAnswersTrailersAndExpect(t *testing.T) {
+	c := qt.New(t)
+	s := startSite(t, func(o *Options) { o.Replicas, o.Plains = 1, 1 })
+	var hints []int
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+		hints = append(hints, status)
+		c.Check(status == http.StatusContinue || header.Get("Link") != "", qt.IsTrue)
+		return nil
+	}}
+	ctx := httptrace.WithClientTrace(context.Background(), trace)
+	request, err := http.NewRequestWithContext(ctx, "PUT", "http://"+s.Callers["entry-0"].String()+"/services/order-desk"+plain.HintsPath, strings.NewReader("body"))
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+Key)
+	request.Header.Set("Expect", "100-continue")
+	client := &http.Client{Transport: &http.Transport{ExpectContinueTimeout: time.Minute}}
+	r, err := client.Do(request)
+	c.Assert(err, qt.IsNil)
+	defer r.Body.Close()
+	c.Assert(readAll(t, r), qt.Contains, "body")
+	c.Assert(hints, qt.Contains, http.StatusEarlyHints)
+	c.Assert(r.Header.Get("Link"), qt.Equals, "", qt.Commentf("the hint's field stands in the answer"))
+	c.Assert(r.Trailer.Get(plain.TrailerName), qt.Equals, "sum")
+}
--- a/entry/caller/entry.go
+++ b/entry/caller/entry.go
@@ -36,7 +36,8 @@
 	options Options
 	node    *peer.Node
 	logger  log.Interface
-	metrics *metrics
+	// operators is the listener for health checks, status and metrics.
+	operators *settings.Operators
 	// ctx ends all work at once; kill ends it.
 	ctx  context.Context
 	kill context.CancelFunc
@@ -67,10 +68,10 @@
 		kill:      kill,
 		options:   options,
 		logger:    logger.WithField("instance", options.Instance),
-		metrics:   newMetrics(),
 		exchanges: make(map[control.RequestID]*exchange),
 	}
 	e.node = peer.NewNode(e.nodeOptions())
+	e.operators = e.newOperators()
 	return e
 }
 
--- a/entry/caller/exchange.go
+++ b/entry/caller/exchange.go
@@ -155,7 +155,7 @@
 		x.place.attempt, x.place.target, x.place.incarnation = o.Attempt, o.Target, o.Incarnation
 		x.begin(ctx, o.Attempt, o.Target, &peer.Open{Kind: &peer.Open_Attach{Attach: x.attachFor(o)}})
 	case control.Fail:
-		x.entry.metrics.count("failed", o.Failure.Outcome, o.Failure.Code)
+		x.entry.count("failed", o.Failure.Outcome, o.Failure.Code)
 		events.Log(x.entry.logger, events.RequestFailed, log.Fields{
 			"request": x.request.ID, "outcome": o.Failure.Outcome, "code": o.Failure.Code,
 		})
@@ -325,7 +325,7 @@
 		})
 		return false
 	}
-	x.entry.metrics.count("answered", control.OutcomeRan, "")
+	x.entry.count("answered", control.OutcomeRan, "")
 	x.trailer = make(http.Header)
 	peer.AddHeaders(x.trailer, end.GetTrailers())
 	x.entry.node.Send(control.AttemptEnded{Request: x.request.ID, Attempt: x.attempt, Load: end.GetLoad().Control()})
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -13,6 +13,12 @@
 // RequestHeader names the caller's operation, so that runs can be counted.
 const RequestHeader = "X-Operation"
 
+// HintsPath answers with an early hint first and a trailer named TrailerName last.
+const (
+	HintsPath   = "/hints"
+	TrailerName = "X-Checksum"
+)
+
 // Ledger counts runs across all the service's replicas.
 type Ledger struct {
 	mutex sync.Mutex
@@ -58,6 +64,13 @@
 		s.Ledger.add(name)
 	}
 	time.Sleep(s.Delay)
+	if r.URL.Path == HintsPath {
+		w.Header().Set("Link", "</style.css>; rel=preload")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.Header().Del("Link")
+		w.Header().Set("Trailer", TrailerName)
+		defer w.Header().Set(TrailerName, "sum")
+	}
 	w.Header().Set("X-Replica", s.Name)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	fmt.Fprintf(w, "%s %s by %s: %s", r.Method, r.URL.Path, s.Name, body)
