Log a rank's switch to another map

Cause: found on reading: docs/EVENTS.md says that mapAdopted stands for formations and switches; only formations were logged.

Change: the first step on another map is logged too, once.

Measured: TestAdoptedMapsAreLoggedOnce; the group's test through the daemons passes.

Conclusion: each placement decision has its line.

--- a/shared/control/coordinator_test.go
+++ b/shared/control/coordinator_test.go
@@ -121,3 +121,23 @@
 		c.Assert(proposed, qt.IsFalse)
 	}
 }
+
+func TestAdoptedMapsAreLoggedOnce(t *testing.T) {
+	c := qt.New(t)
+	s := NewState(Identity{})
+	var reasons []string
+	for _, step := range []RankGo{
+		{At: Position{Generation: 1}, Map: 1}, {At: Position{Generation: 1, Step: 1}, Map: 1},
+		{At: Position{Generation: 1, Step: 2}, Map: 2}, {At: Position{Generation: 1, Step: 3}, Map: 2},
+		{At: Position{Generation: 2}, Map: 2},
+	} {
+		s.effects = nil
+		s.emitRank(0, []RankOutput{step})
+		for _, effect := range s.effects {
+			if d, ok := effect.(Decided); ok {
+				reasons = append(reasons, d.Reason)
+			}
+		}
+	}
+	c.Assert(reasons, qt.DeepEquals, []string{"formed", "switched", "formed"})
+}
--- a/shared/control/group.go
+++ b/shared/control/group.go
@@ -52,9 +52,24 @@
 
 func (s *State) emitRank(rank int, outputs []RankOutput) {
 	for _, o := range outputs {
-		if step, ok := o.(RankGo); ok && step.At.Step == 0 {
-			s.emit(Decided{Code: DecisionMap, Chosen: strconv.FormatUint(uint64(step.Map), 10), Reason: "formed"})
+		if step, ok := o.(RankGo); ok {
+			s.announce(rank, step)
 		}
 		s.emit(RankEffect{Rank: rank, Output: o})
 	}
 }
+
+// announce logs the first step of a generation and the first on another map.
+func (s *State) announce(rank int, step RankGo) {
+	reason := "switched"
+	if step.At.Step == 0 {
+		reason = "formed"
+	} else if s.announced[rank] == step.Map {
+		return
+	}
+	if s.announced == nil {
+		s.announced = make(map[int]MapVersion)
+	}
+	s.announced[rank] = step.Map
+	s.emit(Decided{Code: DecisionMap, Chosen: strconv.FormatUint(uint64(step.Map), 10), Reason: reason})
+}
--- a/shared/control/state.go
+++ b/shared/control/state.go
@@ -43,6 +43,8 @@
 	entry entryState
 	agent agentState
 	ranks map[int]*Rank
+	// announced is the map of each rank that was last logged.
+	announced map[int]MapVersion
 	// groups is what this entry proposed to each group that it coordinates.
 	groups map[string]*coordinated
 	// proposals numbers this incarnation's proposals.
