--- a/agent/target/agent.go
+++ b/agent/target/agent.go
@@ -141,12 +141,21 @@
 		},
 		Platform: platform.NewClient(a.options.Platform, nil),
 		Seeds:    a.options.Seeds,
-		Streams:  []platform.Stream{platform.IntentStream(a.options.Service)},
+		Streams:  a.streams(),
 		Handle:   a.handle,
 		Logger:   a.logger,
 	}
 }
 
+// streams are the keys of a plain service. Model requests are idempotent and have
+// none, so the agent of an engine spares the log the reading.
+func (a *Agent) streams() []platform.Stream {
+	if a.options.ReportsLoad {
+		return nil
+	}
+	return []platform.Stream{platform.IntentStream(a.options.Service)}
+}
+
 // awaitIdle waits until no attempt is at work and answers have been read.
 func (a *Agent) awaitIdle(ctx context.Context) {
 	var idleSince time.Time
