Ignore negative ranks from peers, and list live entries once a tick

Change: both numbers are checked; the list is made once for all groups.

Measured: TestNegativeRanksAreIgnored; the reducer's tests pass.

Conclusion: the fuzz targets stop at the decoder and did not see it.

--- a/shared/control/coordinator.go
+++ b/shared/control/coordinator.go
@@ -39,8 +39,9 @@
 	if s.self.Role != operator.RoleEntry || s.draining || s.superseded || !claimed || claim.Incarnation != s.self.Incarnation {
 		return
 	}
+	entries := s.LiveEntries()
 	for _, name := range sortedKeys(s.config.Inventory().Groups) {
-		if home := nearest(name, s.LiveEntries(), 1); len(home) == 1 && home[0] == s.self.Instance {
+		if home := nearest(name, entries, 1); len(home) == 1 && home[0] == s.self.Instance {
 			s.coordinateGroup(name, s.config.Inventory().Groups[name])
 		}
 	}
@@ -93,7 +94,7 @@
 			continue
 		}
 		for _, r := range b.Ranks {
-			if r.Incarnation == b.Incarnation && r.Rank < group.Ranks && members[r.Rank].instance == "" {
+			if r.Incarnation == b.Incarnation && r.Rank >= 0 && r.Rank < group.Ranks && members[r.Rank].instance == "" {
 				members[r.Rank] = member{RankState: r, instance: b.Instance}
 				count++
 			}
--- a/shared/control/coordinator_test.go
+++ b/shared/control/coordinator_test.go
@@ -141,3 +141,21 @@
 	}
 	c.Assert(reasons, qt.DeepEquals, []string{"formed", "switched", "formed"})
 }
+
+// TestNegativeRanksAreIgnored: ranks come as signed numbers from peers.
+func TestNegativeRanksAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	w, e, tell := groupWorld(t)
+	model := w.processes["model-a"].state.self
+	w.send(e, PeerAnswer{AskedAt: w.now, Beat: Beat{
+		Instance: "model-a", Role: operator.RoleAgent, Incarnation: model.Incarnation, EvidenceAge: -1,
+		Ranks: []RankState{{Rank: -1, Incarnation: model.Incarnation}},
+	}})
+	w.now = w.now.Add(contactWindow / 2)
+	w.send(e, Tick{})
+	c.Assert(tell(RankState{}), qt.HasLen, 2)
+	g := newRankGroup()
+	g.form(1, 1, 7)
+	g.do(0, RankVoted{Proposal: ProposalID{Fencing: 1, Number: 1}, From: -1, Incarnation: 1, Vote: VoteRefused})
+	c.Assert(g.ranks[0].Current(), qt.Equals, MapVersion(7))
+}
--- a/shared/control/rank.go
+++ b/shared/control/rank.go
@@ -190,7 +190,7 @@
 
 func (r *Rank) onVoted(in RankVoted) {
 	b, ok := r.ballots[in.Proposal]
-	if !ok || in.From >= len(b.votes) || b.proposal.Incarnations[in.From] != in.Incarnation {
+	if !ok || in.From < 0 || in.From >= len(b.votes) || b.proposal.Incarnations[in.From] != in.Incarnation {
 		return // A later incarnation cannot speak for the one that was named.
 	}
 	if b.votes[in.From] == VoteNone {
