--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Few targets: what each needs is installed by `make setup`, which the others call.
 
-MODULES := shared standin entry agent operate demo measure
+MODULES := shared platform router sidecar standin entry agent operate demo measure
 PACKAGES := $(MODULES:%=./%/...)
 ARGS ?=
 
--- /dev/null
+++ b/router/caller/stream.go
@@ -0,0 +1,57 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	eventBuffer   = 4 << 10
+)
+
+var (
+	errEventTooLong = errors.New("an event of the stream is too long")
+	errEventCut     = errors.New("the stream ended inside an event")
+
+	idField = []byte("id:")
+)
+
+// eventReader reads whole events of a text/event-stream.
+type eventReader struct{ reader *bufio.Reader }
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+// next gives the bytes of the next event with the empty line that ends it, and the
+// event's id, which is empty if it has none. At the end of a whole stream the error
+// is io.EOF; any other error means that the stream was cut.
+func (r *eventReader) next() (event []byte, id string, err error) {
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEventBytes {
+			return nil, "", errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0 {
+			return nil, "", errEventCut
+		}
+		if err != nil {
+			return nil, "", err
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if value, ok := bytes.CutPrefix(text, idField); ok {
+			id = string(bytes.TrimSpace(value))
+		}
+		if len(text) == 0 && len(bytes.TrimSpace(event)) > 0 {
+			return event, id, nil
+		}
+	}
+}
--- /dev/null
+++ b/router/core/core.go
@@ -0,0 +1,342 @@
+package core
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chervilswitch.example/platform"
+	"chervilswitch.example/shared/admission"
+	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/fleet"
+
+	"github.com/apex/log"
+)
+
+const (
+	// lapseGrace is how long a target is still used whose registration lapsed while
+	// the store was away: targets that live are back within about two seconds of
+	// the store's return.
+	lapseGrace = 1700 * time.Millisecond
+	// lapseWindow is how long after the store's return a removal counts as lapsed.
+	lapseWindow = 2 * time.Second
+	// decisions buffers what a request is told; it gets one decision for each
+	// question.
+	decisions = 2
+)
+
+// Options are what the core needs to know.
+type Options struct {
+	DataCentre string
+	Budget     admission.Budget
+	Logger     log.Interface
+}
+
+// Core is an instance's control state. Its methods may be called from any goroutine.
+type Core struct {
+	options Options
+	view    atomic.Pointer[fleet.View]
+
+	mutex     sync.Mutex
+	admission *admission.State
+	directory *fleet.Directory
+	waiting   map[admission.RequestID]chan admission.Effect
+	next      admission.RequestID
+	entries   int
+
+	configuration *fleet.Configuration
+	targets       map[string]fleet.Target // All readable registrations, by ID.
+	lapsed        map[string]time.Time    // Until when lapsed targets are used.
+	evacuated     map[string]bool
+	storeBack     time.Time
+	storeAway     bool
+}
+
+// New gives a core that knows nothing yet.
+func New(o Options) *Core {
+	c := &Core{
+		options: o, entries: 1,
+		admission: admission.New(o.DataCentre, o.Budget),
+		directory: fleet.NewDirectory(),
+		waiting:   make(map[admission.RequestID]chan admission.Effect),
+		targets:   make(map[string]fleet.Target),
+		lapsed:    make(map[string]time.Time),
+		evacuated: make(map[string]bool),
+	}
+	c.view.Store(&fleet.View{})
+	return c
+}
+
+// View is what is in force now.
+func (c *Core) View() *fleet.View { return c.view.Load() }
+
+// Submit asks for a target. Decisions come on the channel, until Finish.
+func (c *Core) Submit(r admission.Request) (admission.RequestID, <-chan admission.Effect) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.next++
+	r.ID = c.next
+	told := make(chan admission.Effect, decisions)
+	c.waiting[r.ID] = told
+	c.reduce(time.Now(), admission.Submit{Request: r})
+	return r.ID, told
+}
+
+// Finish ends a request and forgets its channel.
+func (c *Core) Finish(id admission.RequestID) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.waiting, id)
+	c.reduce(time.Now(), admission.Finish{ID: id})
+}
+
+// Tell hands an event to the reducer.
+func (c *Core) Tell(e admission.Event) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reduce(time.Now(), e)
+}
+
+// Tick lets time pass: requests that waited too long are refused.
+func (c *Core) Tick() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	for id, until := range c.lapsed {
+		if now.After(until) {
+			delete(c.lapsed, id)
+			delete(c.targets, id)
+			c.publish(now)
+		}
+	}
+	c.reduce(now, admission.Tick{})
+}
+
+// reduce hands decisions to the requests that they are about.
+func (c *Core) reduce(now time.Time, e admission.Event) {
+	for _, effect := range c.admission.Reduce(now, e) {
+		var id admission.RequestID
+		switch d := effect.(type) {
+		case admission.Dispatch:
+			id = d.ID
+		case admission.Refuse:
+			id = d.ID
+		}
+		if told, ok := c.waiting[id]; ok {
+			told <- effect
+		}
+	}
+}
+
+// Running is what this instance has on each target.
+func (c *Core) Running() map[string]int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.admission.Running()
+}
+
+// Summaries describes each service.
+func (c *Core) Summaries() map[string]admission.Summary {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.admission.Summaries()
+}
+
+// SetEntries tells how many entry instances share the targets.
+func (c *Core) SetEntries(count int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if count != c.entries {
+		c.entries = count
+		c.publish(time.Now())
+	}
+}
+
+// End is the offset after the newest record that is known of a topic.
+func (c *Core) End(topic fleet.Topic) int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.directory.End(topic)
+}
+
+// Since lists records from an offset on, for a peer that lacks them.
+func (c *Core) Since(topic fleet.Topic, from int64) []fleet.Record {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if from >= c.directory.End(topic) {
+		return nil
+	}
+	return c.directory.Since(topic, from)
+}
+
+// Learn takes records from the store or a peer.
+func (c *Core) Learn(records []fleet.Record, source string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.take(c.directory.Apply(records), source)
+}
+
+// LearnListing takes all newest records of a topic.
+func (c *Core) LearnListing(topic fleet.Topic, l platform.Listing) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.take(c.directory.ApplyListing(topic, l.Records, l.End), "listing")
+}
+
+// StoreAway tells whether the store answers.
+func (c *Core) StoreAway(away bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.storeAway && !away {
+		c.storeBack = time.Now()
+	}
+	c.storeAway = away
+}
+
+// Confirm notes that the operators' topic was read to its end.
+func (c *Core) Confirm() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	view := *c.view.Load()
+	view.Confirmed = time.Now()
+	c.view.Store(&view)
+}
+
+// take decodes what is new and publishes it.
+func (c *Core) take(news []fleet.Record, source string) {
+	if len(news) == 0 {
+		return
+	}
+	now := time.Now()
+	changed := false
+	for _, r := range news {
+		switch r.Topic {
+		case fleet.OperatorTopic:
+			changed = c.takeOperator(r, source) || changed
+		case fleet.TargetTopic:
+			changed = c.takeTarget(now, r, source) || changed
+		}
+	}
+	if changed {
+		c.publish(now)
+	}
+}
+
+func (c *Core) takeOperator(r fleet.Record, source string) bool {
+	if dataCentre, ok := platform.EvacuationRecord(r); ok {
+		c.evacuated[dataCentre] = !r.Removed
+		events.Log(c.options.Logger, events.ConfigurationTaken, log.Fields{
+			"dataCentre": dataCentre, "out": !r.Removed, "offset": r.Offset, "source": source,
+		})
+		return true
+	}
+	if !platform.ConfigurationRecord(r) || r.Removed {
+		return false
+	}
+	configuration, err := platform.DecodeConfiguration(r.Value)
+	if err != nil {
+		c.unreadable(r, source, err)
+		return false
+	}
+	if c.configuration != nil && configuration.Version <= c.configuration.Version {
+		return false
+	}
+	c.configuration = configuration
+	c.targets = make(map[string]fleet.Target)
+	for _, r := range c.directory.Keys(fleet.TargetTopic) { // Services may be known only now.
+		c.takeTarget(time.Now(), r, source)
+	}
+	events.Log(c.options.Logger, events.ConfigurationTaken, log.Fields{
+		"version": configuration.Version, "offset": r.Offset, "source": source,
+		"routes": len(configuration.Routes), "keys": len(configuration.Organisations),
+	})
+	return true
+}
+
+// takeTarget takes one registration, and reports whether anything but its
+// heartbeat changed.
+func (c *Core) takeTarget(now time.Time, r fleet.Record, source string) bool {
+	known, had := c.targets[r.Key]
+	if r.Removed {
+		if !had {
+			return false
+		}
+		if c.storeAway || now.Sub(c.storeBack) < lapseWindow {
+			c.lapsed[r.Key] = now.Add(lapseGrace)
+			return false
+		}
+		delete(c.targets, r.Key)
+		c.logTarget(r, known, "removed", source)
+		return true
+	}
+	delete(c.lapsed, r.Key)
+	if c.configuration == nil {
+		return false
+	}
+	t, err := platform.DecodeTarget(r, func(service string) bool { return c.configuration.Services[service] != nil })
+	if err != nil {
+		c.unreadable(r, source, err)
+		delete(c.targets, r.Key)
+		return had
+	}
+	c.targets[r.Key] = t
+	t.ColdFor, known.ColdFor = 0, 0 // It falls with each heartbeat.
+	if had && t == known {
+		return false
+	}
+	state := "ready"
+	if t.Draining {
+		state = "draining"
+	}
+	c.logTarget(r, t, state, source)
+	return true
+}
+
+func (c *Core) logTarget(r fleet.Record, t fleet.Target, state, source string) {
+	events.Log(c.options.Logger, events.TargetsChanged, log.Fields{
+		"target": r.Key, "service": t.Service, "dataCentre": t.DataCentre, "state": state,
+		"offset": r.Offset, "source": source,
+	})
+}
+
+func (c *Core) unreadable(r fleet.Record, source string, err error) {
+	events.Log(c.options.Logger, events.RecordUnreadable, log.Fields{
+		"topic": r.Topic.String(), "key": r.Key, "offset": r.Offset, "source": source, "error": err.Error(),
+	})
+}
+
+// publish makes the view that traffic reads, and tells the reducer of each service.
+func (c *Core) publish(now time.Time) {
+	if c.configuration == nil {
+		return
+	}
+	view := &fleet.View{
+		Configuration: c.configuration, Confirmed: c.view.Load().Confirmed,
+		Targets: make(map[string][]fleet.Target), Members: make(map[string][]fleet.Target),
+	}
+	for _, t := range c.targets {
+		if t.Group != "" {
+			view.Members[t.Group] = append(view.Members[t.Group], t)
+		}
+		if !t.Draining && !c.evacuated[t.DataCentre] {
+			view.Targets[t.Service] = append(view.Targets[t.Service], t)
+		}
+	}
+	c.view.Store(view)
+	for name, s := range c.configuration.Services {
+		c.reduce(now, admission.Fleet{Service: *s, Targets: view.Targets[name], Entries: c.entries})
+	}
+}
+
+// Uses reports whether any target has an address.
+func (c *Core) Uses(address netip.AddrPort) bool {
+	for _, targets := range c.View().Targets {
+		for _, t := range targets {
+			if t.Address == address {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/router/entries/entries.go
@@ -0,0 +1,295 @@
+// Package entries speaks to the other entry instances: who is alive, what they have
+// running, and records of the store that one of them lacks.
+package entries
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"chervilswitch.example/shared/admission"
+	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/fleet"
+	"chervilswitch.example/shared/peer"
+
+	"github.com/apex/log"
+)
+
+const (
+	// newsInterval is how often an instance tells the others what it has running.
+	newsInterval = 200 * time.Millisecond
+	// silence is when an instance that tells nothing counts as gone. Callers must
+	// not be sent to a dead one for more than a few seconds.
+	silence = 1500 * time.Millisecond
+	// forget is when a registered instance that was never heard of, or not for so
+	// long, no longer counts in shared limits.
+	forget = 15 * time.Second
+	// redial is the pause between two tries to connect.
+	redial = 500 * time.Millisecond
+)
+
+// Core is what the instances' news concern.
+type Core interface {
+	Learn(records []fleet.Record, source string)
+	Tell(e admission.Event)
+	Running() map[string]int
+	End(topic fleet.Topic) int64
+	Since(topic fleet.Topic, from int64) []fleet.Record
+	SetEntries(count int)
+}
+
+// Set is the entry instances that are known.
+type Set struct {
+	self   fleet.Instance
+	core   Core
+	logger log.Interface
+	// Duty gives the fencing token that this instance holds, or 0.
+	Duty func() uint64
+
+	mutex    sync.Mutex
+	stopping bool
+	others   map[string]*other
+	seeds    []netip.AddrPort
+}
+
+// other is one other instance.
+type other struct {
+	instance fleet.Instance
+	heard    time.Time // When its last news came.
+	seen     time.Time // When it was last heard of in any way.
+	stopping bool
+	duty     uint64
+	ends     map[fleet.Topic]int64
+	cancel   context.CancelFunc
+	wake     chan struct{}
+}
+
+// NewSet gives the set of an instance that knows no other.
+func NewSet(self fleet.Instance, core Core, logger log.Interface) *Set {
+	return &Set{self: self, core: core, logger: logger, others: make(map[string]*other), Duty: func() uint64 { return 0 }}
+}
+
+// Register takes an instance's registration and begins to tell it news.
+func (s *Set) Register(ctx context.Context, i fleet.Instance) {
+	if i.Name == s.self.Name {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	o, ok := s.others[i.Name]
+	if ok && o.instance.Incarnation >= i.Incarnation {
+		o.stopping = o.stopping || i.Stopping && o.instance.Incarnation == i.Incarnation
+		return
+	}
+	if ok {
+		o.cancel()
+	}
+	link, cancel := context.WithCancel(ctx)
+	o = &other{
+		instance: i, seen: time.Now(), stopping: i.Stopping, cancel: cancel,
+		ends: make(map[fleet.Topic]int64), wake: make(chan struct{}, 1),
+	}
+	s.others[i.Name] = o
+	events.Log(s.logger, events.EntriesChanged, log.Fields{"entry": i.Name, "incarnation": i.Incarnation, "state": "registered"})
+	go s.tell(link, o)
+}
+
+// Stop tells the others that this instance takes no new callers.
+func (s *Set) Stop() {
+	s.mutex.Lock()
+	s.stopping = true
+	s.mutex.Unlock()
+	s.Wake()
+}
+
+// Wake tells the others news at once.
+func (s *Set) Wake() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, o := range s.others {
+		select {
+		case o.wake <- struct{}{}:
+		default: // It is awake already.
+		}
+	}
+}
+
+// tell sends news to one instance until the context ends.
+func (s *Set) tell(ctx context.Context, o *other) {
+	for ctx.Err() == nil {
+		s.tellOnce(ctx, o)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redial):
+		}
+	}
+}
+
+func (s *Set) tellOnce(ctx context.Context, o *other) {
+	link, err := peer.Dial(ctx, o.instance.Peers, nil)
+	if err != nil {
+		return // Its silence shows in the news that it does not send.
+	}
+	defer link.Close()
+	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Entry{Entry: s.news(o)}})
+	if err != nil {
+		return
+	}
+	defer stream.Close()
+	stop := stream.CloseWith(ctx)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-link.Closed():
+			return
+		case <-o.wake:
+		case <-time.After(newsInterval):
+		}
+		if stream.Send(s.news(o)) != nil {
+			return
+		}
+	}
+}
+
+// news is what an instance should hear now.
+func (s *Set) news(o *other) *peer.EntryNews {
+	s.mutex.Lock()
+	operatorEnd, targetEnd, heard := o.ends[fleet.OperatorTopic], o.ends[fleet.TargetTopic], !o.heard.IsZero()
+	stopping := s.stopping
+	s.mutex.Unlock()
+	m := &peer.EntryNews{
+		Instance: s.self.Name, Incarnation: s.self.Incarnation, Stopping: stopping, Duty: s.Duty(),
+		OperatorEnd: s.core.End(fleet.OperatorTopic), TargetEnd: s.core.End(fleet.TargetTopic),
+		Running: make(map[string]int32),
+	}
+	for target, running := range s.core.Running() {
+		m.Running[target] = int32(running)
+	}
+	if heard {
+		records := append(s.core.Since(fleet.OperatorTopic, operatorEnd), s.core.Since(fleet.TargetTopic, targetEnd)...)
+		for _, r := range records {
+			m.Records = append(m.Records, &peer.StoreRecord{
+				Topic: int32(r.Topic), Key: r.Key, Offset: r.Offset, Value: r.Value, Removed: r.Removed,
+			})
+		}
+	}
+	return m
+}
+
+// Serve takes the news of one instance until its link ends.
+func (s *Set) Serve(ctx context.Context, first *peer.EntryNews, stream *peer.Stream) {
+	m := first
+	for ctx.Err() == nil {
+		s.hear(m)
+		m = new(peer.EntryNews)
+		if stream.Receive(m) != nil {
+			return // The instance dials again, or falls silent.
+		}
+	}
+}
+
+func (s *Set) hear(m *peer.EntryNews) {
+	s.mutex.Lock()
+	o, ok := s.others[m.GetInstance()]
+	if ok && o.instance.Incarnation == m.GetIncarnation() {
+		back := time.Since(o.heard) > silence
+		o.heard = time.Now()
+		o.seen = o.heard
+		o.stopping, o.duty = m.GetStopping(), m.GetDuty()
+		o.ends[fleet.OperatorTopic], o.ends[fleet.TargetTopic] = m.GetOperatorEnd(), m.GetTargetEnd()
+		if back {
+			events.Log(s.logger, events.EntriesChanged, log.Fields{"entry": m.GetInstance(), "state": "heard"})
+		}
+	}
+	s.mutex.Unlock()
+	if !ok {
+		return // Its registration is still to come.
+	}
+	records := make([]fleet.Record, len(m.GetRecords()))
+	for i, r := range m.GetRecords() {
+		records[i] = fleet.Record{
+			Topic: fleet.Topic(r.GetTopic()), Key: r.GetKey(), Offset: r.GetOffset(), Value: r.GetValue(), Removed: r.GetRemoved(),
+		}
+	}
+	s.core.Learn(records, m.GetInstance())
+	running := make(map[string]int, len(m.GetRunning()))
+	for target, count := range m.GetRunning() {
+		running[target] = int(count)
+	}
+	s.core.Tell(admission.PeerLoad{Peer: m.GetInstance(), Running: running})
+}
+
+// Watch forgets what silent instances had running, until the context ends.
+func (s *Set) Watch(ctx context.Context) {
+	ticker := time.NewTicker(newsInterval)
+	defer ticker.Stop()
+	silent := make(map[string]bool)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mutex.Lock()
+		now, count := time.Now(), 1
+		var lost []string
+		for name, o := range s.others {
+			if now.Sub(o.seen) < forget && !o.stopping {
+				count++
+			}
+			quiet := now.Sub(o.heard) > silence
+			if quiet && !silent[name] {
+				lost = append(lost, name)
+			}
+			silent[name] = quiet
+		}
+		s.mutex.Unlock()
+		for _, name := range lost {
+			events.Log(s.logger, events.EntriesChanged, log.Fields{"entry": name, "state": "silent"})
+			s.core.Tell(admission.PeerLost{Peer: name})
+		}
+		s.core.SetEntries(count)
+	}
+}
+
+// Callers lists where callers can connect: this instance, unless it is stopping,
+// and those that were heard of lately.
+func (s *Set) Callers() []netip.AddrPort {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var addresses []netip.AddrPort
+	if !s.stopping {
+		addresses = append(addresses, s.self.Callers)
+	}
+	for _, o := range s.others {
+		if !o.stopping && time.Since(o.heard) < silence {
+			addresses = append(addresses, o.instance.Callers)
+		}
+	}
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	return addresses
+}
+
+// Leads reports whether this instance should hold the planner's duty: nobody else
+// who is alive holds a higher token, and no live instance that holds none has a
+// lower name while nobody holds the duty.
+func (s *Set) Leads(own uint64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.stopping {
+		return false
+	}
+	for name, o := range s.others {
+		if o.stopping || time.Since(o.heard) > silence {
+			continue
+		}
+		if o.duty > own || own == 0 && name < s.self.Name {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/router/main.go
@@ -0,0 +1,27 @@
+// Command chervil-router takes callers' requests on an entry instance and sends
+// them to targets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chervilswitch.example/router/caller"
+)
+
+func main() {
+	options, err := caller.ParseOptions(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chervil-router:", err)
+		os.Exit(caller.ExitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := caller.Run(ctx, options); err != nil {
+		fmt.Fprintln(os.Stderr, "chervil-router:", err)
+		os.Exit(caller.ExitFailure)
+	}
+}
--- /dev/null
+++ b/shared/admission/service.go
@@ -0,0 +1,161 @@
+package admission
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"chervilswitch.example/shared/fleet"
+)
+
+const (
+	// groupPause is how long nothing is sent to a group after one of its ranks
+	// said that it waits for another.
+	groupPause = 400 * time.Millisecond
+	// rateHalfLife smooths the time between dispatches from a full service.
+	rateWeight = 0.1
+	// startInterval is the time between two finished requests that is assumed
+	// before any was measured.
+	startInterval = 50 * time.Millisecond
+	// localPreference is how many running requests a target in another data centre
+	// is worth in a choice.
+	localPreference = 0.25
+)
+
+// service is one service's targets, queue and limits.
+type service struct {
+	fleet.Service
+	targets map[string]*target
+	order   []string // Targets' names, sorted, so that choices repeat.
+	turn    int      // Where the search for a target begins.
+	waiting queue
+	passes  passModel
+	maxGap  time.Duration
+	paused  time.Time // Until when the group takes nothing.
+
+	// finished is the smoothed time between two ends while requests wait.
+	finished time.Duration
+	lastEnd  time.Time
+	// first is the smoothed time to the first output over all targets.
+	first   time.Duration
+	retries bucket
+}
+
+func newService() *service {
+	return &service{targets: make(map[string]*target), finished: startInterval}
+}
+
+// update takes a new list of targets and keeps what is known of those that stay.
+func (s *service) update(e Fleet) {
+	s.Service = e.Service
+	kept := make(map[string]*target, len(e.Targets))
+	for _, t := range e.Targets {
+		known, ok := s.targets[t.ID]
+		if !ok || known.Incarnation != t.Incarnation {
+			fresh := &target{}
+			if ok {
+				fresh.running = known.running
+			}
+			known = fresh
+		}
+		known.Target = t
+		kept[t.ID] = known
+	}
+	s.targets = kept
+	s.order = slices.Sorted(maps.Keys(kept))
+}
+
+// limit is how much each target may have from all entry instances.
+func (s *service) limit() int {
+	if s.Engine != nil {
+		return s.passes.limit(s.Engine, s.maxGap)
+	}
+	slots := 1
+	for _, t := range s.targets {
+		slots = max(slots, t.Slots)
+	}
+	return slots * plainDepth
+}
+
+// meanRunning is the requests that a target has, by what is known.
+func (s *service) meanRunning(loads loads) float64 {
+	sum := 0
+	for _, t := range s.targets {
+		sum += t.running + loads.of(t.ID)
+	}
+	return float64(sum) / float64(max(1, len(s.targets)))
+}
+
+// choose finds the target with the least work that a request may be sent to.
+func (s *service) choose(at time.Time, e *entry, st *State) (*target, int) {
+	if at.Before(s.paused) {
+		return nil, 0
+	}
+	limit := s.limit()
+	if e.ran+len(e.tried) > 0 {
+		limit++ // A retry has waited already.
+	}
+	var best *target
+	bestScore, bestRunning := 0.0, 0
+	for i := range s.order {
+		t := s.targets[s.order[(i+s.turn)%len(s.order)]]
+		running := t.running + st.loads.of(t.ID)
+		if running >= limit || at.Before(t.resting) || slices.Contains(e.tried, t.ID) || t.cold(at, s.ColdRate, st.entries) {
+			continue
+		}
+		score := float64(running) + failurePenalty*t.failures + s.slowness(t)
+		if t.DataCentre != st.dataCentre {
+			score += localPreference
+		}
+		if best == nil || score < bestScore {
+			best, bestScore, bestRunning = t, score, running
+		}
+	}
+	if best != nil {
+		s.turn++
+		if s.ColdRate > 0 {
+			best.coldRate.take()
+		}
+	}
+	return best, bestRunning
+}
+
+// slowness is how many requests a slow target of a plain service is worth in a
+// choice. Ranks of a group are all as slow as the slowest.
+func (s *service) slowness(t *target) float64 {
+	if s.Engine != nil || t.first == 0 || s.first == 0 {
+		return 0
+	}
+	return max(0, float64(t.first)/float64(s.first)-1)
+}
+
+// expectedWait is how long a request would wait behind others.
+func (s *service) expectedWait(ahead int) time.Duration {
+	return time.Duration(ahead+1) * s.finished
+}
+
+// ended measures how often requests end while others wait.
+func (s *service) ended(at time.Time) {
+	if !s.lastEnd.IsZero() && s.waiting.length > 0 {
+		s.finished += time.Duration(rateWeight * float64(min(time.Second, at.Sub(s.lastEnd))-s.finished))
+	}
+	s.lastEnd = at
+}
+
+// loads is what other entry instances have running, by instance and target.
+type loads map[string]map[string]int
+
+func (l loads) of(target string) int {
+	sum := 0
+	for _, running := range l {
+		sum += running[target]
+	}
+	return sum
+}
+
+// sortedRefusals keeps effects in an order that repeats.
+func sortedRefusals(entries []*entry) []*entry {
+	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.request.ID, b.request.ID) })
+	return entries
+}
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -28,6 +28,25 @@
 	KeyJoined       Event = 2104
 	MapAdopted      Event = 2201
 	MapProposed     Event = 2202
+
+	DependencyLost     Event = 1203
+	DependencyRegained Event = 1204
+	SettingsReloaded   Event = 1004
+	RecordUnreadable   Event = 1105
+	ConfigurationTaken Event = 1106
+	TargetsChanged     Event = 1107
+	EntriesChanged     Event = 1108
+	RequestEnded       Event = 1303
+	RequestDispatched  Event = 2011
+	RequestTurnedAway  Event = 2012
+	AttemptEnded       Event = 2013
+	StreamResumed      Event = 2014
+	LimitsSummary      Event = 2015
+	DutyTaken          Event = 2203
+	DutyLeft           Event = 2204
+	SwitchPlanned      Event = 2205
+	SwitchEnded        Event = 2206
+	RankOrderEnded     Event = 2207
 )
 
 // names gives each event's stable name.
@@ -52,6 +71,25 @@
 	KeyJoined:       "keyJoined",
 	MapAdopted:      "mapAdopted",
 	MapProposed:     "mapProposed",
+
+	DependencyLost:     "dependencyLost",
+	DependencyRegained: "dependencyRegained",
+	SettingsReloaded:   "settingsReloaded",
+	RecordUnreadable:   "recordUnreadable",
+	ConfigurationTaken: "configurationTaken",
+	TargetsChanged:     "targetsChanged",
+	EntriesChanged:     "entriesChanged",
+	RequestEnded:       "requestEnded",
+	RequestDispatched:  "requestDispatched",
+	RequestTurnedAway:  "requestTurnedAway",
+	AttemptEnded:       "attemptEnded",
+	StreamResumed:      "streamResumed",
+	LimitsSummary:      "limitsSummary",
+	DutyTaken:          "dutyTaken",
+	DutyLeft:           "dutyLeft",
+	SwitchPlanned:      "switchPlanned",
+	SwitchEnded:        "switchEnded",
+	RankOrderEnded:     "rankOrderEnded",
 }
 
 // All lists every event with its name.
@@ -67,7 +105,7 @@
 func Log(logger log.Interface, e Event, fields log.Fields) {
 	line := logger.WithFields(fields).WithField("event", int(e))
 	switch e {
-	case LogUnreadable, AppendUncertain, AppendDropped, PeerLost, TargetFailed, RequestFailed:
+	case DependencyLost, RecordUnreadable, LogUnreadable, AppendUncertain, AppendDropped, PeerLost, TargetFailed, RequestFailed:
 		line.Warn(names[e])
 	default:
 		line.Info(names[e])
--- /dev/null
+++ b/shared/peer/ranks.go
@@ -0,0 +1,135 @@
+package peer
+
+import (
+	"errors"
+
+	"chervilswitch.example/shared/ranks"
+)
+
+// EngineReportOf translates a rank's report.
+func EngineReportOf(r ranks.Report) *EngineReport {
+	return &EngineReport{
+		Group: r.Group, Rank: int32(r.Rank), Ranks: int32(r.Ranks), Epoch: r.Epoch, Open: r.Open,
+		Incarnation: r.Incarnation, Sequence: r.Sequence, Step: r.Step, Map: r.Map,
+		Prepared: r.Prepared, Armed: r.Armed, ArmedStep: r.ArmedStep, Held: r.Held, HeldStep: r.HeldStep,
+		Pace: r.Pace, Running: int32(r.Running), Waiting: int32(r.Waiting),
+	}
+}
+
+// Report translates the message back; a nil message is a report of nothing.
+func (x *EngineReport) Report() ranks.Report {
+	return ranks.Report{
+		Group: x.GetGroup(), Rank: int(x.GetRank()), Ranks: int(x.GetRanks()), Epoch: x.GetEpoch(),
+		Open: x.GetOpen(), Incarnation: x.GetIncarnation(), Sequence: x.GetSequence(), Step: x.GetStep(),
+		Map: x.GetMap(), Prepared: x.GetPrepared(), Armed: x.GetArmed(), ArmedStep: x.GetArmedStep(),
+		Held: x.GetHeld(), HeldStep: x.GetHeldStep(), Pace: x.GetPace(),
+		Running: int(x.GetRunning()), Waiting: int(x.GetWaiting()),
+	}
+}
+
+// RankOrderOf translates an order.
+func RankOrderOf(token, epoch uint64, order ranks.Order) *RankOrder {
+	m := &RankOrder{Token: token, Epoch: epoch}
+	switch o := order.(type) {
+	case ranks.Prepare:
+		m.Order = &RankOrder_Prepare{Prepare: &PrepareMap{Version: o.Version, Sets: setsOf(o.Map)}}
+	case ranks.Hold:
+		m.Order = &RankOrder_HoldStep{HoldStep: o.Step}
+	case ranks.Arm:
+		m.Order = &RankOrder_Arm{Arm: &ArmMap{Version: o.Version, Step: o.Step}}
+	case ranks.Disarm:
+		m.Order = &RankOrder_DisarmVersion{DisarmVersion: o.Version}
+	case ranks.Release:
+		m.Order = &RankOrder_ReleaseStep{ReleaseStep: o.Step}
+	}
+	return m
+}
+
+// Decode translates the order back; an unknown order is nil.
+func (x *RankOrder) Decode() ranks.Order {
+	switch o := x.GetOrder().(type) {
+	case *RankOrder_Prepare:
+		return ranks.Prepare{Version: o.Prepare.GetVersion(), Map: mapOf(o.Prepare.GetSets())}
+	case *RankOrder_HoldStep:
+		return ranks.Hold{Step: o.HoldStep}
+	case *RankOrder_Arm:
+		return ranks.Arm{Version: o.Arm.GetVersion(), Step: o.Arm.GetStep()}
+	case *RankOrder_DisarmVersion:
+		return ranks.Disarm{Version: o.DisarmVersion}
+	case *RankOrder_ReleaseStep:
+		return ranks.Release{Step: o.ReleaseStep}
+	default:
+		return nil
+	}
+}
+
+func setsOf(m ranks.Map) []*SetOfRanks {
+	sets := make([]*SetOfRanks, len(m))
+	for set := range m {
+		sets[set] = &SetOfRanks{Ranks: ExpertsOf(m[set])}
+	}
+	return sets
+}
+
+func mapOf(sets []*SetOfRanks) ranks.Map {
+	m := make(ranks.Map, len(sets))
+	for set := range sets {
+		m[set] = ExpertLists(sets[set].GetRanks())
+	}
+	return m
+}
+
+// ExpertsOf translates lists of experts.
+func ExpertsOf(lists [][]int) []*Experts {
+	all := make([]*Experts, len(lists))
+	for i, list := range lists {
+		all[i] = &Experts{Expert: make([]int32, len(list))}
+		for j, expert := range list {
+			all[i].Expert[j] = int32(expert)
+		}
+	}
+	return all
+}
+
+// ExpertLists translates lists of experts back.
+func ExpertLists(all []*Experts) [][]int {
+	lists := make([][]int, len(all))
+	for i, experts := range all {
+		lists[i] = make([]int, len(experts.GetExpert()))
+		for j, expert := range experts.GetExpert() {
+			lists[i][j] = int(expert)
+		}
+	}
+	return lists
+}
+
+// RankOrderEndOf translates the end of an order.
+func RankOrderEndOf(report ranks.Report, err error) *RankOrderEnd {
+	end := &RankOrderEnd{Report: EngineReportOf(report)}
+	switch {
+	case err == nil:
+		return end
+	case errors.Is(err, ranks.ErrFenced):
+		end.Result = RankOrderEnd_FENCED
+	case errors.Is(err, ranks.ErrRefused):
+		end.Result = RankOrderEnd_REFUSED
+	default:
+		end.Result = RankOrderEnd_UNANSWERED
+	}
+	end.Detail = err.Error()
+	return end
+}
+
+// Err translates the result back to an error of package ranks, or nil.
+func (x *RankOrderEnd) Err() error {
+	switch x.GetResult() {
+	case RankOrderEnd_DONE:
+		return nil
+	case RankOrderEnd_REFUSED:
+		return ranks.ErrRefused.New("%s", x.GetDetail())
+	case RankOrderEnd_FENCED:
+		return ranks.ErrFenced.New("%s", x.GetDetail())
+	default:
+		return ranks.ErrUnanswered.New("%s", x.GetDetail())
+	}
+}
--- /dev/null
+++ b/shared/ranks/plan.go
@@ -0,0 +1,254 @@
+package ranks
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	// candidates is how many experts of a set, those with the most work a copy,
+	// are tried for another copy; the others cannot be a rank's largest part.
+	candidates = 20
+	// leastGain is the least part of the experts' time that one more copy must
+	// save. Below it the copying costs more than it saves in its time.
+	leastGain = 0.004
+)
+
+// Demand is the work of each expert: by set, then by expert.
+type Demand [][]float64
+
+// Planner finds maps with a few changes that lower the time of a pass: the sum,
+// over sets, of the most loaded rank's part. Copies of an expert share its work
+// evenly.
+type Planner struct {
+	// Places is how many experts a rank holds in a set, at most.
+	Places int
+	// NewPerRank is how many experts a rank may copy for one switch, over all sets.
+	NewPerRank int
+	// Pace is each rank's slowness; empty means that all are at their usual speed.
+	Pace []float64
+}
+
+// board is a map under change with the loads that follow from it.
+type board struct {
+	experts Map
+	copies  [][]int     // By set and expert.
+	loads   [][]float64 // By set and rank, where 1 is the mean.
+	work    Demand      // Scaled so that a set's mean rank load is 1.
+	pace    []float64
+}
+
+// Skew is the most loaded rank's part over the mean, averaged over sets.
+func Skew(m Map, d Demand) float64 {
+	b := newBoard(m, d, nil)
+	sum := 0.0
+	for set := range b.loads {
+		sum += slices.Max(b.loads[set])
+	}
+	return sum / float64(max(1, len(b.loads)))
+}
+
+func newBoard(m Map, d Demand, pace []float64) *board {
+	b := &board{experts: m.Clone(), work: make(Demand, len(m)), loads: make([][]float64, len(m)), copies: make([][]int, len(m)), pace: pace}
+	for set := range m {
+		sum := 0.0
+		for _, w := range d[set] {
+			sum += w
+		}
+		scale := float64(len(m[set])) / max(sum, 1)
+		b.work[set] = make([]float64, len(d[set]))
+		b.copies[set] = make([]int, len(d[set]))
+		b.loads[set] = make([]float64, len(m[set]))
+		for expert, w := range d[set] {
+			b.work[set][expert] = w * scale
+		}
+		for _, experts := range m[set] {
+			for _, expert := range experts {
+				b.copies[set][expert]++
+			}
+		}
+		for rank, experts := range m[set] {
+			for _, expert := range experts {
+				b.loads[set][rank] += b.share(set, expert, 0) * b.slowness(rank)
+			}
+		}
+	}
+	return b
+}
+
+func (b *board) slowness(rank int) float64 {
+	if rank < len(b.pace) && b.pace[rank] > 1 {
+		return b.pace[rank]
+	}
+	return 1
+}
+
+// share is the work of one copy if the number of copies changes.
+func (b *board) share(set, expert, more int) float64 {
+	return b.work[set][expert] / float64(max(1, b.copies[set][expert]+more))
+}
+
+// change is one expert more on a rank, in the place of another or in a free one.
+type change struct {
+	set, rank int
+	add, drop int // drop is -1 for a free place.
+	gain      float64
+}
+
+// Improve changes a map for the demand, and returns the new map with the part of
+// the experts' time that it saves. The map is nil if no change pays.
+func (p *Planner) Improve(current Map, d Demand) (Map, float64) {
+	b := newBoard(current, d, p.Pace)
+	before := b.cost()
+	budget := make([]int, len(current[0]))
+	for rank := range budget {
+		budget[rank] = p.NewPerRank
+	}
+	changed := false
+	for {
+		best := p.best(b, current, budget)
+		if best.gain < leastGain*before {
+			break
+		}
+		b.apply(best)
+		budget[best.rank]--
+		changed = true
+	}
+	if !changed {
+		return nil, 0
+	}
+	return b.experts, 1 - b.cost()/before
+}
+
+// cost is the sum of each set's smoothed largest load.
+func (b *board) cost() float64 {
+	sum := 0.0
+	for set := range b.loads {
+		sum += smoothMax(b.loads[set])
+	}
+	return sum
+}
+
+// smoothMax is close to the largest load, and falls also when one of several
+// equally loaded ranks is relieved.
+func smoothMax(loads []float64) float64 {
+	sum := 0.0
+	for _, load := range loads {
+		sum += power(load)
+	}
+	return math.Sqrt(math.Sqrt(math.Sqrt(sum)))
+}
+
+// power is the eighth power.
+func power(x float64) float64 {
+	x *= x
+	x *= x
+	return x * x
+}
+
+// best finds the change that lowers the cost most.
+func (p *Planner) best(b *board, origin Map, budget []int) change {
+	best := change{}
+	for set := range b.experts {
+		sum := 0.0
+		for _, load := range b.loads[set] {
+			sum += power(load)
+		}
+		current := smoothMax(b.loads[set])
+		hot := b.hottest(set)
+		for rank, left := range budget {
+			if left == 0 {
+				continue
+			}
+			drops := p.drops(b, origin, set, rank)
+			for _, add := range hot {
+				if slices.Contains(b.experts[set][rank], add) {
+					continue
+				}
+				for _, drop := range drops {
+					after := math.Sqrt(math.Sqrt(math.Sqrt(b.powersAfter(sum, set, rank, add, drop))))
+					if gain := current - after; gain > best.gain {
+						best = change{set: set, rank: rank, add: add, drop: drop, gain: gain}
+					}
+				}
+			}
+		}
+	}
+	return best
+}
+
+// hottest lists the experts with the most work a copy.
+func (b *board) hottest(set int) []int {
+	order := make([]int, len(b.work[set]))
+	for expert := range order {
+		order[expert] = expert
+	}
+	slices.SortFunc(order, func(x, y int) int {
+		return cmp.Or(cmp.Compare(b.share(set, y, 0), b.share(set, x, 0)), x-y)
+	})
+	return order[:min(candidates, len(order))]
+}
+
+// drops lists what a rank may give up in a set: a free place, or else the two
+// copies whose loss moves the least work. A copy that this plan added stays.
+func (p *Planner) drops(b *board, origin Map, set, rank int) []int {
+	held := b.experts[set][rank]
+	if len(held) < p.Places {
+		return []int{-1}
+	}
+	var spare []int
+	for _, expert := range held {
+		if b.copies[set][expert] > 1 && slices.Contains(origin[set][rank], expert) {
+			spare = append(spare, expert)
+		}
+	}
+	moved := func(expert int) float64 { return b.share(set, expert, -1) }
+	slices.SortFunc(spare, func(x, y int) int { return cmp.Or(cmp.Compare(moved(x), moved(y)), x-y) })
+	return spare[:min(2, len(spare))]
+}
+
+// powersAfter is the sum of the loads' powers after a change.
+func (b *board) powersAfter(sum float64, set, rank, add, drop int) float64 {
+	loads := b.loads[set]
+	addBefore, addAfter := b.share(set, add, 0), b.share(set, add, 1)
+	var dropBefore, dropAfter float64
+	if drop >= 0 {
+		dropBefore, dropAfter = b.share(set, drop, 0), b.share(set, drop, -1)
+	}
+	for r, experts := range b.experts[set] {
+		delta := 0.0
+		switch {
+		case r == rank:
+			delta = addAfter - dropBefore
+		default:
+			if slices.Contains(experts, add) {
+				delta += addAfter - addBefore
+			}
+			if drop >= 0 && slices.Contains(experts, drop) {
+				delta += dropAfter - dropBefore
+			}
+		}
+		if delta != 0 {
+			sum += power(loads[r]+delta*b.slowness(r)) - power(loads[r])
+		}
+	}
+	return max(sum, 0)
+}
+
+// apply makes a change.
+func (b *board) apply(c change) {
+	if c.drop >= 0 {
+		at := slices.Index(b.experts[c.set][c.rank], c.drop)
+		b.experts[c.set][c.rank] = slices.Delete(b.experts[c.set][c.rank], at, at+1)
+		b.copies[c.set][c.drop]--
+	}
+	b.experts[c.set][c.rank] = append(b.experts[c.set][c.rank], c.add)
+	b.copies[c.set][c.add]++
+	for rank, experts := range b.experts[c.set] {
+		b.loads[c.set][rank] = 0
+		for _, expert := range experts {
+			b.loads[c.set][rank] += b.share(c.set, expert, 0) * b.slowness(rank)
+		}
+	}
+}
--- /dev/null
+++ b/sidecar/main.go
@@ -0,0 +1,27 @@
+// Command chervil-sidecar runs beside a model replica. It reads the rank's state
+// where that costs nothing, and gives its orders.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chervilswitch.example/sidecar/rank"
+)
+
+func main() {
+	options, err := rank.ParseOptions(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chervil-sidecar:", err)
+		os.Exit(rank.ExitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := rank.Run(ctx, options); err != nil {
+		fmt.Fprintln(os.Stderr, "chervil-sidecar:", err)
+		os.Exit(rank.ExitFailure)
+	}
+}
--- /dev/null
+++ b/sidecar/rank/options.go
@@ -0,0 +1,44 @@
+package rank
+
+import (
+	"net/netip"
+
+	"chervilswitch.example/shared/settings"
+)
+
+// Exit codes of the command.
+const (
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+// Options are the sidecar's settings.
+type Options struct {
+	// Instance is the process's name in logs.
+	Instance string `json:"instance"`
+	// Engine is the address of the replica beside the process.
+	Engine netip.AddrPort `json:"engine"`
+	// Peers is where planners connect.
+	Peers netip.AddrPort `json:"peers"`
+}
+
+// ParseOptions reads the command line and the settings that it names. Errors match
+// settings.ErrInvalid.
+func ParseOptions(arguments []string) (Options, error) {
+	var o Options
+	file, err := settings.ParseCommand("chervil-sidecar", "Reads and orders the rank beside it", arguments, &o)
+	if err != nil {
+		return o, err
+	}
+	var faults settings.Faults
+	if o.Instance == "" {
+		faults.Add("instance", "a name is needed")
+	}
+	if !o.Engine.IsValid() {
+		faults.Add("engine", "an address with a port is needed, such as 10.0.0.1:8080")
+	}
+	if !o.Peers.IsValid() {
+		faults.Add("peers", "an address with a port is needed, such as 10.0.0.1:7340")
+	}
+	return o, faults.Err(file)
+}
