--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -145,7 +145,7 @@
 		http.Error(w, "no entry instance takes callers", http.StatusServiceUnavailable)
 		return
 	}
-	body, err := platform.Resolution(addresses[:min(len(addresses), maxAddresses)], time.Duration(r.options.AddressKeep))
+	body, err := platform.Resolution(addresses[:min(len(addresses), maxAddresses)], time.Duration(r.current.Load().AddressKeep))
 	if err != nil {
 		events.Log(r.logger, events.RequestFailed, log.Fields{"error": err.Error()})
 		http.Error(w, "no answer", http.StatusInternalServerError)
--- a/router/caller/options.go
+++ b/router/caller/options.go
@@ -54,6 +54,15 @@
 	return o, o.check()
 }
 
+// Reread reads the settings' file once more. Errors match settings.ErrInvalid.
+func (o *Options) Reread() (Options, error) {
+	fresh := Options{File: o.File}
+	if err := settings.Read(o.File, &fresh); err != nil {
+		return fresh, err
+	}
+	return fresh, fresh.check()
+}
+
 // check names all faults at once.
 func (o *Options) check() error {
 	var faults settings.Faults
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -52,7 +52,9 @@
 
 // Router serves callers on one entry instance.
 type Router struct {
-	options  Options
+	options Options
+	// current are the settings in force; listeners and names stay as they began.
+	current  atomic.Pointer[Options]
 	logger   log.Interface
 	core     *core.Core
 	entries  *entries.Set
@@ -85,10 +87,26 @@
 			Incarnation: uint64(time.Now().UnixNano()), Callers: options.Callers, Peers: options.Peers,
 		},
 	}
+	r.current.Store(&options)
 	r.entries = entries.NewSet(r.self, r.core, logger)
 	return r
 }
 
+// reload takes changed settings, and keeps the old ones if the new are invalid.
+func (r *Router) reload() {
+	fresh, err := r.options.Reread()
+	if err != nil {
+		events.Log(r.logger, events.SettingsReloaded, log.Fields{"error": err.Error()})
+		return
+	}
+	r.current.Store(&fresh)
+	r.core.Tell(admission.BudgetChanged{Budget: admission.Budget{Ratio: fresh.RetryRatio, Slack: fresh.RetrySlack}})
+	events.Log(r.logger, events.SettingsReloaded, log.Fields{
+		"retryRatio": fresh.RetryRatio, "retrySlack": fresh.RetrySlack,
+		"gracePeriod": time.Duration(fresh.GracePeriod).String(), "addressKeep": time.Duration(fresh.AddressKeep).String(),
+	})
+}
+
 // Serve answers callers until the context ends, then stops without cutting off
 // requests.
 func (r *Router) Serve(ctx context.Context) error {
@@ -132,6 +150,7 @@
 	group.Go(func() { duty.Run(soft, work.Run) })
 	group.Go(func() { r.announce(hard, false) })
 	group.Go(func() { r.tick(hard) })
+	group.Go(func() { settings.Watch(hard, r.options.File, r.reload) })
 }
 
 // register takes registrations of entry instances.
@@ -245,7 +264,7 @@
 
 // stop takes no new callers and lets the requests in flight end.
 func (r *Router) stop(callers *http.Server) error {
-	grace := time.Duration(r.options.GracePeriod)
+	grace := time.Duration(r.current.Load().GracePeriod)
 	began := time.Now()
 	events.Log(r.logger, events.Stopping, log.Fields{"grace": grace.String()})
 	r.stopping.Store(true)
--- a/router/main.go
+++ b/router/main.go
@@ -10,9 +10,11 @@
 	"syscall"
 
 	"chervilswitch.example/router/caller"
+	"chervilswitch.example/shared/settings"
 )
 
 func main() {
+	settings.IgnoreHangup()
 	options, err := caller.ParseOptions(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "chervil-router:", err)
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -103,18 +103,22 @@
 // PeerLost forgets what another entry had running.
 type PeerLost struct{ Peer string }
 
+// BudgetChanged sets the bound of repeated requests.
+type BudgetChanged struct{ Budget Budget }
+
 // Tick lets time pass.
 type Tick struct{}
 
-func (Submit) event()   {}
-func (Retry) event()    {}
-func (Finish) event()   {}
-func (Answered) event() {}
-func (Paused) event()   {}
-func (Fleet) event()    {}
-func (PeerLoad) event() {}
-func (PeerLost) event() {}
-func (Tick) event()     {}
+func (Submit) event()        {}
+func (Retry) event()         {}
+func (Finish) event()        {}
+func (Answered) event()      {}
+func (Paused) event()        {}
+func (Fleet) event()         {}
+func (PeerLoad) event()      {}
+func (PeerLost) event()      {}
+func (BudgetChanged) event() {}
+func (Tick) event()          {}
 
 // Effect is what the reducer decided.
 type Effect interface{ effect() }
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -75,6 +75,9 @@
 	case PeerLost:
 		delete(st.loads, e.Peer)
 		return st.drainAll(at)
+	case BudgetChanged:
+		st.budget = e.Budget
+		return nil
 	default:
 		return st.tick(at)
 	}
--- a/sidecar/main.go
+++ b/sidecar/main.go
@@ -9,10 +9,12 @@
 	"os/signal"
 	"syscall"
 
+	"chervilswitch.example/shared/settings"
 	"chervilswitch.example/sidecar/rank"
 )
 
 func main() {
+	settings.IgnoreHangup()
 	options, err := rank.ParseOptions(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "chervil-sidecar:", err)
