Test the router against a stand-in of the platform

What can go wrong at a target, in the store, with callers and in stopping is caused by platform/platformtest, which speaks the platform's protocol and is a part of that folder.

--- /dev/null
+++ b/router/caller/router_test.go
@@ -0,0 +1,514 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chervilswitch.example/platform/platformtest"
+	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/settings"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	testKey      = "k1"
+	plainPath    = "/plain/"
+	oncePath     = "/once/"
+	streamPath   = "/stream/"
+	testDeadline = 2 * time.Second
+)
+
+// deployment is routers with stand-ins around them.
+type deployment struct {
+	*qt.C
+	store    *platformtest.Store
+	storeAt  netip.AddrPort
+	routers  []*Router
+	stops    []context.CancelFunc
+	ended    []chan error
+	replicas map[string]*platformtest.Replica
+	client   *http.Client
+}
+
+func testRoutes(service string) []platformtest.Route {
+	return []platformtest.Route{
+		{Prefix: plainPath, Kind: "safe", Service: service, Attempts: 2, Timeout: testDeadline, Objective: 100 * time.Millisecond},
+		{Prefix: oncePath, Kind: "unsafe", Service: service, Attempts: 1, Timeout: testDeadline, Objective: 100 * time.Millisecond},
+		{Prefix: streamPath, Kind: "streaming", Service: service, Attempts: 2, Timeout: 4 * time.Second, Objective: 500 * time.Millisecond, Resume: true},
+	}
+}
+
+// deploy starts instances, and replicas of one service by their behaviours.
+func deploy(t *testing.T, instances int, behaviours map[string]platformtest.Behaviour) *deployment {
+	d := &deployment{
+		C: qt.New(t), store: &platformtest.Store{}, replicas: make(map[string]*platformtest.Replica),
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+	}
+	d.storeAt = d.store.Start()
+	t.Cleanup(d.store.Close)
+	d.store.PutConfiguration(platformtest.Configuration(1, testRoutes("svc"), map[string]string{testKey: "org"}))
+	for id, behaviour := range behaviours {
+		d.replica(t, id, behaviour)
+	}
+	for range instances {
+		d.start(t)
+	}
+	for _, r := range d.routers {
+		d.eventually("an instance is ready", func() bool { return platformtest.Ready(r.options.Readiness) })
+	}
+	return d
+}
+
+func (d *deployment) replica(t *testing.T, id string, behaviour platformtest.Behaviour) {
+	r, err := platformtest.StartReplica(id, behaviour)
+	d.Assert(err, qt.IsNil)
+	t.Cleanup(r.Close)
+	d.replicas[id] = r
+	d.store.PutTarget(id, r.Entry("svc", "dc-a", "ready"))
+}
+
+// start adds an instance.
+func (d *deployment) start(t *testing.T) *Router {
+	o := Options{
+		File: filepath.Join(t.TempDir(), "none.json"), Instance: "entry-" + string(rune('a'+len(d.routers))), DataCentre: "dc-a",
+		Callers: freeAddress(d.C), Readiness: freeAddress(d.C), Resolution: freeAddress(d.C),
+		Peers: freeAddress(d.C), Operators: freeAddress(d.C), Store: d.storeAt, SidecarPort: 1,
+		RetryRatio: 0.2, RetrySlack: 90,
+		GracePeriod: settings.Duration(time.Second), AddressKeep: settings.Duration(time.Second),
+	}
+	sink := events.NewSink(io.Discard)
+	r := NewRouter(o, events.NewLogger(sink))
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- r.Serve(ctx)
+		sink.Close()
+	}()
+	d.routers, d.stops, d.ended = append(d.routers, r), append(d.stops, stop), append(d.ended, ended)
+	t.Cleanup(func() { // Waits, so that a test leaves nothing behind.
+		stop()
+		<-ended
+	})
+	return r
+}
+
+func freeAddress(c *qt.C) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func (d *deployment) eventually(what string, holds func() bool) {
+	d.Helper()
+	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	d.Fatalf("it did not come true that %s", what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	// cut tells that the answer broke off.
+	cut bool
+}
+
+func (d *deployment) call(ctx context.Context, c platformtest.Call) (answer, error) {
+	if c.Key == "" {
+		c.Key = testKey
+	}
+	if c.Method == "" {
+		c.Method = http.MethodPost
+	}
+	request, err := c.Request(ctx, d.routers[0].options.Callers)
+	d.Assert(err, qt.IsNil)
+	response, err := d.client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(body), header: response.Header, cut: err != nil}, nil
+}
+
+func (d *deployment) must(c platformtest.Call) answer {
+	d.Helper()
+	a, err := d.call(context.Background(), c)
+	d.Assert(err, qt.IsNil)
+	return a
+}
+
+func echo(w *platformtest.Reply, r platformtest.Run) { w.Answer(http.StatusOK, "echo "+r.Attempt) }
+
+func (d *deployment) runs() (all []platformtest.Run) {
+	for _, r := range d.replicas {
+		all = append(all, r.Runs()...)
+	}
+	return all
+}
+
+func TestRequestReachesTargetUnchanged(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo})
+	a := d.must(platformtest.Call{Path: oncePath + "x%2Fy?q=1&r=%20", Attempt: "a1", Body: "the body", Left: time.Second})
+	d.Assert(a.status, qt.Equals, http.StatusOK)
+	d.Assert(a.body, qt.Equals, "echo a1")
+	d.Assert(platformtest.Signed(a.header), qt.IsTrue)
+	runs := d.replicas["i-1"].Runs()
+	d.Assert(runs, qt.HasLen, 1)
+	d.Assert(runs[0].URI, qt.Equals, oncePath+"x%2Fy?q=1&r=%20")
+	d.Assert(runs[0].Body, qt.Equals, "the body")
+	d.Assert(runs[0].Tenant, qt.Equals, "org")
+	d.Assert(runs[0].Key, qt.Equals, "")
+	d.Assert(runs[0].Deadline > 900*time.Millisecond && runs[0].Deadline <= time.Second, qt.IsTrue, qt.Commentf("%s", runs[0].Deadline))
+}
+
+func TestDenials(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo})
+	d.Assert(d.must(platformtest.Call{Path: plainPath, Attempt: "a", Key: "wrong"}).status, qt.Equals, http.StatusUnauthorized)
+	d.Assert(d.must(platformtest.Call{Path: "/nowhere/", Attempt: "b"}).status, qt.Equals, http.StatusNotFound)
+	d.Assert(d.runs(), qt.HasLen, 0)
+	// A configuration that cannot be confirmed is no reason to deny for good.
+	d.store.Set(platformtest.Down)
+	var a answer
+	d.eventually("it is not denied for good", func() bool {
+		a = d.must(platformtest.Call{Path: "/nowhere/", Attempt: "c"})
+		return a.status == http.StatusServiceUnavailable
+	})
+	d.Assert(platformtest.RetryAfter(a.header), qt.Not(qt.Equals), "")
+	d.Assert(d.must(platformtest.Call{Path: plainPath, Attempt: "d"}).status, qt.Equals, http.StatusOK)
+}
+
+// A request that may run once is never sent again after it may have run, and is
+// never said not to have run.
+func TestLostAnswerOfAtMostOnce(t *testing.T) {
+	for name, behaviour := range map[string]platformtest.Behaviour{
+		"reset":  func(w *platformtest.Reply, _ platformtest.Run) { w.Reset() },
+		"closed": func(w *platformtest.Reply, _ platformtest.Run) { w.Close() },
+		"cut": func(w *platformtest.Reply, _ platformtest.Run) {
+			_, _ = io.WriteString(w.Conn, "HTTP/1.1 200 OK\r\nContent-Le")
+			w.Close()
+		},
+		"garbage": func(w *platformtest.Reply, _ platformtest.Run) {
+			_, _ = io.WriteString(w.Conn, "garbage\r\n\r\n")
+			w.Close()
+		},
+		"short body":     func(w *platformtest.Reply, _ platformtest.Run) { w.Answer(200, "x", "Content-Length: 9"); w.Close() },
+		"promise of ran": func(w *platformtest.Reply, _ platformtest.Run) { w.Answer(http.StatusServiceUnavailable, "busy") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": behaviour, "i-2": behaviour})
+			a := d.must(platformtest.Call{Path: oncePath, Attempt: "a"})
+			d.Assert(a.status, qt.Equals, http.StatusBadGateway)
+			d.Assert(platformtest.Signed(a.header), qt.IsFalse)
+			d.Assert(d.runs(), qt.HasLen, 1)
+		})
+	}
+}
+
+func TestIdempotentRequestIsTriedElsewhere(t *testing.T) {
+	var mutex sync.Mutex
+	failed := false
+	flaky := func(w *platformtest.Reply, r platformtest.Run) {
+		mutex.Lock()
+		first := !failed
+		failed = true
+		mutex.Unlock()
+		if first {
+			w.Reset()
+			return
+		}
+		echo(w, r)
+	}
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": flaky, "i-2": flaky})
+	a := d.must(platformtest.Call{Path: plainPath, Attempt: "a"})
+	d.Assert(a.status, qt.Equals, http.StatusOK)
+	d.Assert(d.runs(), qt.HasLen, 2)
+}
+
+func TestRejectionIsTriedElsewhereAndThenRefused(t *testing.T) {
+	full := func(w *platformtest.Reply, _ platformtest.Run) { w.NotRun() }
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": full, "i-2": full})
+	began := time.Now()
+	a := d.must(platformtest.Call{Path: oncePath, Attempt: "a"})
+	d.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
+	d.Assert(platformtest.RetryAfter(a.header), qt.Not(qt.Equals), "")
+	d.Assert(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+}
+
+// An answer that belongs to another request is never given to a caller.
+func TestStrayAnswers(t *testing.T) {
+	t.Run("before", func(t *testing.T) {
+		d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": func(w *platformtest.Reply, r platformtest.Run) {
+			w.Attempt = "another"
+			w.Answer(http.StatusOK, "not yours")
+			w.Attempt = r.Attempt
+			echo(w, r)
+		}})
+		d.Assert(d.must(platformtest.Call{Path: oncePath, Attempt: "a"}).body, qt.Equals, "echo a")
+		d.Assert(d.must(platformtest.Call{Path: oncePath, Attempt: "b"}).body, qt.Equals, "echo b")
+	})
+	t.Run("after", func(t *testing.T) {
+		d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": func(w *platformtest.Reply, r platformtest.Run) {
+			echo(w, r)
+			w.Answer(http.StatusOK, "again")
+		}})
+		for _, attempt := range []string{"a", "b", "c"} {
+			d.Assert(d.must(platformtest.Call{Path: oncePath, Attempt: attempt}).body, qt.Equals, "echo "+attempt)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
+// Another target at a registered address does not run the request.
+func TestMisplacedTargetRunsNothing(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo, "i-2": echo})
+	d.replicas["i-1"].ID = "i-9"
+	for _, attempt := range []string{"a", "b", "c"} {
+		d.Assert(d.must(platformtest.Call{Path: oncePath, Attempt: attempt}).status, qt.Equals, http.StatusOK)
+	}
+	d.Assert(d.replicas["i-1"].Runs(), qt.HasLen, 0)
+}
+
+func numbered(from, to int) platformtest.Behaviour {
+	return func(w *platformtest.Reply, r platformtest.Run) {
+		begin := from
+		if r.LastEvent != "" {
+			begin = 1 + int(r.LastEvent[0]-'0')
+		}
+		w.Begin()
+		for id := begin; id <= to; id++ {
+			w.Event(id)
+		}
+		w.End()
+	}
+}
+
+func wantStream(from, to int) string {
+	var text strings.Builder
+	for id := from; id <= to; id++ {
+		n := string(rune('0' + id))
+		text.WriteString("id: " + n + "\ndata: event-" + n + "\n\n")
+	}
+	return text.String()
+}
+
+// A stream that is cut, also inside an event, goes on elsewhere with no event
+// missing or twice.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	var mutex sync.Mutex
+	cut := false
+	behaviour := func(w *platformtest.Reply, r platformtest.Run) {
+		mutex.Lock()
+		first := !cut
+		cut = true
+		mutex.Unlock()
+		if !first {
+			numbered(1, 5)(w, r)
+			return
+		}
+		w.Begin()
+		w.Event(1)
+		w.Event(2)
+		w.Chunk("id: 3\ndata: ev")
+		time.Sleep(20 * time.Millisecond)
+		w.Reset()
+	}
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": behaviour, "i-2": behaviour})
+	a := d.must(platformtest.Call{Path: streamPath, Attempt: "a"})
+	d.Assert(a.cut, qt.IsFalse)
+	d.Assert(a.body, qt.Equals, wantStream(1, 5))
+	d.Assert(platformtest.Attempt(a.header), qt.Equals, "a")
+}
+
+// A stream that cannot go on does not look complete.
+func TestCutStreamLooksCut(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": func(w *platformtest.Reply, _ platformtest.Run) {
+		w.Begin()
+		w.Event(1)
+		time.Sleep(20 * time.Millisecond)
+		w.Reset()
+	}})
+	a := d.must(platformtest.Call{Path: streamPath, Attempt: "a"})
+	d.Assert(a.cut, qt.IsTrue)
+	d.Assert(a.body, qt.Equals, wantStream(1, 1))
+}
+
+// When a caller leaves, its target hears of it within half a second.
+func TestTargetHearsThatCallerLeft(t *testing.T) {
+	started := make(chan struct{}, 1)
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": func(w *platformtest.Reply, _ platformtest.Run) {
+		w.Begin()
+		w.Event(1)
+		started <- struct{}{}
+	}})
+	ctx, leave := context.WithCancel(context.Background())
+	go func() { _, _ = d.call(ctx, platformtest.Call{Path: streamPath, Attempt: "a"}) }()
+	<-started
+	leave()
+	began := time.Now()
+	d.eventually("the target's connection is closed", func() bool { _, gone := d.replicas["i-1"].Conns(); return gone == 1 })
+	d.Assert(time.Since(began) < 500*time.Millisecond, qt.IsTrue)
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo})
+	for range 20 {
+		d.must(platformtest.Call{Path: oncePath, Attempt: "a"})
+	}
+	conns, _ := d.replicas["i-1"].Conns()
+	d.Assert(conns, qt.Equals, 1)
+}
+
+// Timeouts end with an answer: unknown if the request may have run.
+func TestTimeoutIsAnswered(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": func(*platformtest.Reply, platformtest.Run) { time.Sleep(3 * time.Second) }})
+	began := time.Now()
+	a := d.must(platformtest.Call{Path: oncePath, Attempt: "a", Left: 300 * time.Millisecond})
+	d.Assert(a.status, qt.Equals, http.StatusGatewayTimeout)
+	d.Assert(time.Since(began) < 800*time.Millisecond, qt.IsTrue)
+}
+
+// A target that drains, or whose data centre is taken out, gets no new work.
+func TestDrainingAndEvacuatedTargets(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo, "i-2": echo})
+	d.store.PutTarget("i-1", d.replicas["i-1"].Entry("svc", "dc-a", "draining"))
+	time.Sleep(time.Second)
+	before := len(d.replicas["i-1"].Runs())
+	for range 10 {
+		d.Assert(d.must(platformtest.Call{Path: oncePath, Attempt: "a"}).status, qt.Equals, http.StatusOK)
+	}
+	d.Assert(d.replicas["i-1"].Runs(), qt.HasLen, before)
+	d.store.Evacuate("dc-a", true)
+	d.eventually("nothing is served", func() bool {
+		return d.must(platformtest.Call{Path: oncePath, Attempt: "a"}).status == http.StatusServiceUnavailable
+	})
+	d.store.Evacuate("dc-a", false)
+	d.eventually("the data centre is back", func() bool {
+		return d.must(platformtest.Call{Path: oncePath, Attempt: "a"}).status == http.StatusOK
+	})
+}
+
+// Registrations that other writers left name no target; the others hold.
+func TestForeignRegistrations(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo})
+	for id, entry := range map[string]any{
+		"text": "nonsense", "list": []int{1}, "empty": map[string]any{},
+		"state":   d.replicas["i-1"].Entry("svc", "dc-a", "resting"),
+		"service": d.replicas["i-1"].Entry("unheard", "dc-a", "ready"),
+	} {
+		d.store.PutTarget(id, entry)
+	}
+	d.store.Put("keyed.servers", "bytes", []byte{0xff, 0xfe})
+	time.Sleep(600 * time.Millisecond)
+	for range 10 {
+		d.Assert(d.must(platformtest.Call{Path: oncePath, Attempt: "a"}).status, qt.Equals, http.StatusOK)
+	}
+	d.Assert(d.routers[0].core.View().Targets["svc"], qt.HasLen, 1)
+}
+
+// The store may forget its history; what is in force stays in force.
+func TestCompactedHistory(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo, "i-2": echo})
+	d.store.Set(platformtest.Down)
+	time.Sleep(100 * time.Millisecond)
+	d.store.PutConfiguration(platformtest.Configuration(5, testRoutes("svc"), map[string]string{"k2": "other"}))
+	d.store.PutTarget("i-1", nil)
+	d.store.Compact()
+	d.store.Set(platformtest.None)
+	d.eventually("the new key holds", func() bool {
+		return d.must(platformtest.Call{Path: oncePath, Attempt: "a", Key: "k2"}).status == http.StatusOK
+	})
+	d.Assert(d.must(platformtest.Call{Path: oncePath, Attempt: "b"}).status, qt.Equals, http.StatusUnauthorized)
+	d.eventually("the removed target is gone", func() bool { return len(d.routers[0].core.View().Targets["svc"]) == 1 })
+}
+
+// An older configuration never replaces a newer one.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo})
+	d.store.PutConfiguration(platformtest.Configuration(9, testRoutes("svc"), map[string]string{"k9": "org"}))
+	d.store.PutConfiguration(platformtest.Configuration(7, testRoutes("svc"), map[string]string{"k7": "org"}))
+	d.eventually("version 9 holds", func() bool { return d.routers[0].core.View().Configuration.Version == 9 })
+	time.Sleep(200 * time.Millisecond)
+	d.Assert(d.routers[0].core.View().Configuration.Version, qt.Equals, uint64(9))
+}
+
+// Instances find each other in the store, name each other to callers, and drop one
+// that stops or dies.
+func TestCallersAreSentToLiveInstances(t *testing.T) {
+	d := deploy(t, 3, map[string]platformtest.Behaviour{"i-1": echo})
+	count := func() int {
+		addresses, err := platformtest.Resolve(d.routers[0].options.Resolution)
+		if err != nil {
+			return -1
+		}
+		return len(addresses)
+	}
+	d.eventually("three instances are named", func() bool { return count() == 3 })
+	d.stops[2]()
+	began := time.Now()
+	d.eventually("the stopped one is not", func() bool { return count() == 2 })
+	d.Assert(time.Since(began) < 3*time.Second, qt.IsTrue)
+}
+
+// An instance that the store turns away learns of changes from the others.
+func TestNewsComeFromPeers(t *testing.T) {
+	d := deploy(t, 2, map[string]platformtest.Behaviour{"i-1": echo})
+	second := d.routers[1]
+	d.eventually("they know each other", func() bool { return len(second.entries.Callers()) == 2 })
+	// Only the first instance reads the store from now on.
+	records := d.routers[0].core.End(0)
+	d.store.PutConfiguration(platformtest.Configuration(3, testRoutes("svc"), map[string]string{"k3": "org"}))
+	d.eventually("the first one knows", func() bool { return d.routers[0].core.End(0) > records })
+	d.eventually("the second one knows", func() bool { return second.core.View().Configuration.Version == 3 })
+}
+
+// Stopping cuts off no request in flight, and ends within the grace period.
+func TestStopFinishesWhatRuns(t *testing.T) {
+	release := make(chan struct{})
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": func(w *platformtest.Reply, r platformtest.Run) {
+		<-release
+		echo(w, r)
+	}})
+	got := make(chan answer, 1)
+	go func() {
+		a, _ := d.call(context.Background(), platformtest.Call{Path: oncePath, Attempt: "a", Left: testDeadline})
+		got <- a
+	}()
+	d.eventually("the request runs", func() bool { return len(d.runs()) == 1 })
+	d.stops[0]()
+	d.eventually("the instance says that it is not ready", func() bool { return !platformtest.Ready(d.routers[0].options.Readiness) })
+	time.Sleep(300 * time.Millisecond)
+	close(release)
+	a := <-got
+	d.Assert(a.status, qt.Equals, http.StatusOK)
+	select {
+	case err := <-d.ended[0]:
+		d.Assert(err, qt.IsNil)
+		d.ended[0] <- nil
+	case <-time.After(4 * time.Second):
+		d.Fatal("the instance did not end")
+	}
+}
+
+func TestSettingsNameAllFaults(t *testing.T) {
+	err := (&Options{}).check()
+	qt.Assert(t, errors.Is(err, settings.ErrInvalid), qt.IsTrue)
+	for _, key := range []string{"instance", "dataCentre", "callers", "store", "sidecarPort", "gracePeriod", "addressKeep"} {
+		qt.Assert(t, strings.Contains(err.Error(), key), qt.IsTrue, qt.Commentf("%s", key))
+	}
+}
