Complete held switches, and fence ranks before a takeover decides

Arming timed out after 3 s and was undone; an order that was still being tried armed the rank after its disarming was confirmed. Change: a held switch is only ever completed. A new holder of the duty fences every rank by a hold far ahead that it takes back. Orders that a sidecar does not answer in 200 ms are given from the router, unless engines ignore fencing tokens. The demand is kept in the store for the next planner, the duty is claimed 0.7 s after a start, closed groups are told to all instances, and of two registrations of one address the newest holds.

--- a/router/caller/options.go
+++ b/router/caller/options.go
@@ -36,6 +36,8 @@
 	// of the requests, and a number in a window besides.
 	RetryRatio float64 `json:"retryRatio"`
 	RetrySlack float64 `json:"retrySlack"`
+	// Fencing tells that engines refuse orders with old fencing tokens.
+	Fencing bool `json:"fencing"`
 	// GracePeriod is the time from SIGTERM to the end by force.
 	GracePeriod settings.Duration `json:"gracePeriod"`
 	// AddressKeep is how long callers keep the addresses that they were told.
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -243,7 +243,6 @@
 		return false
 	}
 	c.configuration = configuration
-	c.targets = make(map[string]fleet.Target)
 	for _, r := range c.directory.Keys(fleet.TargetTopic) { // Services may be known only now.
 		c.takeTarget(time.Now(), r, source)
 	}
@@ -316,6 +315,9 @@
 		Targets: make(map[string][]fleet.Target), Members: make(map[string][]fleet.Target),
 	}
 	for _, t := range c.targets {
+		if c.replaced(t) {
+			continue
+		}
 		if t.Group != "" {
 			view.Members[t.Group] = append(view.Members[t.Group], t)
 		}
@@ -329,6 +331,17 @@
 	}
 }
 
+// replaced reports whether another target has registered at a target's address
+// since: one that restarted leaves its old registration until its heartbeats lapse.
+func (c *Core) replaced(t fleet.Target) bool {
+	for _, other := range c.targets {
+		if other.Address == t.Address && other.Incarnation > t.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // Uses reports whether any target has an address.
 func (c *Core) Uses(address netip.AddrPort) bool {
 	for _, targets := range c.View().Targets {
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -50,6 +50,7 @@
 
 	mutex    sync.Mutex
 	stopping bool
+	closed   []string
 	others   map[string]*other
 	seeds    []netip.AddrPort
 }
@@ -104,6 +105,15 @@
 	s.Wake()
 }
 
+// SetClosed tells all instances which services' groups wait for a rank.
+func (s *Set) SetClosed(services []string) {
+	s.mutex.Lock()
+	s.closed = services
+	s.mutex.Unlock()
+	s.core.Tell(admission.GroupsClosed{Instance: s.self.Name, Services: services})
+	s.Wake()
+}
+
 // Wake tells the others news at once.
 func (s *Set) Wake() {
 	s.mutex.Lock()
@@ -159,12 +169,12 @@
 func (s *Set) news(o *other) *peer.EntryNews {
 	s.mutex.Lock()
 	operatorEnd, targetEnd, heard := o.ends[fleet.OperatorTopic], o.ends[fleet.TargetTopic], !o.heard.IsZero()
-	stopping := s.stopping
+	stopping, closed := s.stopping, s.closed
 	s.mutex.Unlock()
 	m := &peer.EntryNews{
 		Instance: s.self.Name, Incarnation: s.self.Incarnation, Stopping: stopping, Duty: s.Duty(),
 		OperatorEnd: s.core.End(fleet.OperatorTopic), TargetEnd: s.core.End(fleet.TargetTopic),
-		Running: make(map[string]int32),
+		Running: make(map[string]int32), Closed: closed,
 	}
 	for target, running := range s.core.Running() {
 		m.Running[target] = int32(running)
@@ -220,6 +230,7 @@
 	for target, count := range m.GetRunning() {
 		running[target] = int(count)
 	}
+	s.core.Tell(admission.GroupsClosed{Instance: m.GetInstance(), Services: m.GetClosed()})
 	s.core.Tell(admission.PeerLoad{Peer: m.GetInstance(), Running: running})
 }
 
--- a/router/planner/duty.go
+++ b/router/planner/duty.go
@@ -16,15 +16,18 @@
 
 const (
 	// dutyInterval is how often the duty is considered.
-	dutyInterval = 300 * time.Millisecond
-	// settleIn is how long a started instance listens for a holder before it claims.
-	settleIn = 2500 * time.Millisecond
+	dutyInterval = 200 * time.Millisecond
+	// settleIn is how long a started instance listens for a holder before it claims;
+	// others tell news several times in it. A claim too many only raises the token.
+	settleIn = 700 * time.Millisecond
 )
 
-// Store is where the duty is claimed.
+// Store is where the duty is claimed, and where demand outlives its planner.
 type Store interface {
 	// Claim errors match platform.ErrConflict with the topic's end.
 	Claim(ctx context.Context, topic fleet.Topic, value []byte, at int64) (int64, error)
+	Put(ctx context.Context, topic fleet.Topic, key string, value []byte) error
+	List(ctx context.Context, topic fleet.Topic) (platform.Listing, error)
 }
 
 // Duty is claimed by an append to the store. The record's offset makes the fencing
--- a/router/planner/group.go
+++ b/router/planner/group.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"sync"
@@ -21,15 +23,21 @@
 	watchInterval = 100 * time.Millisecond
 	// tickInterval lets the switcher give orders again.
 	tickInterval = 25 * time.Millisecond
-	// demandHalfLife is when what was chosen counts half.
-	demandHalfLife = 350 * time.Millisecond
+	// demandHalfLife is after how many passes what was chosen counts half. A group
+	// that makes no passes forgets nothing.
+	demandHalfLife = 4.5
+	// saveInterval is how often the demand is kept for the next planner.
+	saveInterval = 3 * time.Second
 	// minDemand is how many choices a plan needs, for each expert of a set.
 	minDemand = 20
 	// leastSaving is the part of the experts' time that a switch must save to be
 	// worth the copying, which slows passes meanwhile.
 	leastSaving = 0.02
-	// orderTimeout bounds an order that is given through a sidecar.
+	// orderTimeout bounds an order.
 	orderTimeout = 1500 * time.Millisecond
+	// sidecarTimeout is when an order is given from here instead: sidecars answer
+	// within some milliseconds, and a group may be held meanwhile.
+	sidecarTimeout = 200 * time.Millisecond
 	// remoteReportLag is the age of reports that are read from another instance.
 	remoteReportLag = 250 * time.Millisecond
 	redialPause     = 200 * time.Millisecond
@@ -53,9 +61,11 @@
 	// What follows belongs to run's goroutine.
 	switcher *ranks.Switcher
 	demand   ranks.Demand
-	demandAt time.Time
+	demandAt uint64 // The pass up to which it has decayed.
+	saved    time.Time
 	experts  map[int]rankExperts
 	latest   map[int]ranks.Report
+	epoch    uint64
 	version  uint64
 	current  ranks.Map
 	began    time.Time
@@ -110,7 +120,7 @@
 	defer g.mutex.Unlock()
 	for _, t := range g.wanted {
 		m, ok := g.members[t.Rank]
-		if ok && m.target.Address == t.Address {
+		if ok && (m.target.Address == t.Address || m.target.Incarnation > t.Incarnation) {
 			continue
 		}
 		if ok {
@@ -128,6 +138,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	defer g.ranks.Wait()
+	g.load(ctx)
 	for {
 		now := time.Now()
 		var effects []ranks.Effect
@@ -138,6 +149,7 @@
 			g.connect(ctx)
 			effects = g.switcher.Reduce(time.Now(), ranks.Ticked{})
 			effects = append(effects, g.plan(time.Now())...)
+			g.save(ctx, now)
 		case e := <-g.events:
 			switch e := e.(type) {
 			case rankNews:
@@ -156,7 +168,7 @@
 	if report.Group != g.name {
 		return nil
 	}
-	g.decay(now)
+	g.decay(report.Step)
 	if len(m.GetChosen()) == g.engine.Sets*g.engine.Experts {
 		for i, chosen := range m.GetChosen() {
 			g.demand[i/g.engine.Experts][i%g.engine.Experts] += float64(chosen)
@@ -166,19 +178,61 @@
 		g.experts[report.Rank] = rankExperts{epoch: report.Epoch, version: m.GetMap(), bySet: peer.ExpertLists(m.GetExperts())}
 	}
 	g.latest[report.Rank] = report
+	g.planner.setClosed(g.name, g.closed())
 	return g.switcher.Reduce(now, ranks.Reported{Report: report})
 }
 
-func (g *group) decay(now time.Time) {
-	if !g.demandAt.IsZero() {
-		keep := math.Exp2(-now.Sub(g.demandAt).Seconds() / demandHalfLife.Seconds())
+// decay lets what was chosen in earlier passes count less.
+func (g *group) decay(step uint64) {
+	if step > g.demandAt && g.demandAt != 0 {
+		keep := math.Exp2(-float64(step-g.demandAt) / demandHalfLife)
 		for set := range g.demand {
 			for expert := range g.demand[set] {
 				g.demand[set][expert] *= keep
 			}
 		}
 	}
-	g.demandAt = now
+	g.demandAt = step
+}
+
+// load takes the demand that an earlier planner kept, so that a group that formed
+// anew gets its map before its requests have shown what they choose.
+func (g *group) load(ctx context.Context) {
+	listing, err := g.planner.Duty.Store.List(ctx, fleet.DemandTopic)
+	if err != nil {
+		return // Plans begin with what the ranks count.
+	}
+	for _, r := range listing.Records {
+		var kept ranks.Demand
+		if r.Key != g.name || json.Unmarshal(r.Value, &kept) != nil || len(kept) != g.engine.Sets {
+			continue
+		}
+		for set := range kept {
+			if len(kept[set]) != g.engine.Experts {
+				return
+			}
+		}
+		g.demand = kept
+	}
+}
+
+// save keeps the demand in the store.
+func (g *group) save(ctx context.Context, now time.Time) {
+	if now.Sub(g.saved) < saveInterval || !g.enough() {
+		return
+	}
+	g.saved = now
+	rounded := make([][]int, len(g.demand))
+	for set := range g.demand {
+		for _, work := range g.demand[set] {
+			rounded[set] = append(rounded[set], int(work))
+		}
+	}
+	value, err := json.Marshal(rounded)
+	if err != nil {
+		return // Lists of numbers always encode.
+	}
+	g.ranks.Go(func() { _ = g.planner.Duty.Store.Put(ctx, fleet.DemandTopic, g.name, value) }) // The next one comes soon.
 }
 
 // currentMap puts together what the ranks hold, or nil while they differ.
@@ -187,7 +241,7 @@
 	if !same {
 		return nil
 	}
-	if g.current != nil && g.version == version {
+	if g.current != nil && g.version == version && g.epoch == g.switcher.Epoch() {
 		return g.current
 	}
 	m := make(ranks.Map, g.engine.Sets)
@@ -200,7 +254,7 @@
 			m[set] = append(m[set], held.bySet[set])
 		}
 	}
-	g.version, g.current = version, m
+	g.epoch, g.version, g.current = g.switcher.Epoch(), version, m
 	return m
 }
 
@@ -242,6 +296,17 @@
 	return paces
 }
 
+// closed reports whether the group waits for a rank.
+func (g *group) closed() bool {
+	open := true
+	for _, r := range g.latest {
+		if r.Epoch == g.switcher.Epoch() {
+			open = open && r.Open
+		}
+	}
+	return !open
+}
+
 // obey carries out what the switcher decided.
 func (g *group) obey(ctx context.Context, effects []ranks.Effect) {
 	for _, effect := range effects {
@@ -274,7 +339,7 @@
 	g.mutex.Unlock()
 	report, err := ranks.Report{}, error(ranks.ErrUnanswered)
 	if m != nil {
-		report, err = m.order(bounded, e)
+		report, err = m.order(bounded, e, g.planner.Fenced)
 	}
 	if err != nil {
 		events.Log(g.planner.Logger, events.RankOrderEnded, log.Fields{
@@ -282,19 +347,35 @@
 		})
 	}
 	select {
-	case g.events <- ranks.Ended{Rank: e.Rank, Order: e.Order, Report: report, Err: err}:
+	case g.events <- ranks.Ended{Rank: e.Rank, Token: e.Token, Order: e.Order, Report: report, Err: err}:
 	case <-ctx.Done():
 	}
 }
 
-func (m *member) order(ctx context.Context, e ranks.Give) (ranks.Report, error) {
+// order gives an order through the sidecar, or from here if the sidecar is silent.
+// An engine that ignores fencing tokens is ordered by its sidecar only, which
+// refuses late orders in its place.
+func (m *member) order(ctx context.Context, e ranks.Give, fenced bool) (ranks.Report, error) {
 	m.mutex.Lock()
 	link := m.link
 	m.mutex.Unlock()
-	if link == nil {
-		executor := ranks.Executor{Engine: platform.NewEngine(m.target.Address), ReportLag: remoteReportLag}
-		return executor.Execute(ctx, e.Token, e.Epoch, e.Order)
+	if link != nil {
+		report, err := throughSidecar(ctx, link, e)
+		if !errors.Is(err, ranks.ErrUnanswered) || !fenced {
+			return report, err
+		}
+	}
+	if !fenced {
+		return ranks.Report{}, ranks.ErrUnanswered.New("no sidecar, and the engine ignores fencing tokens")
 	}
+	executor := ranks.Executor{Engine: platform.NewEngine(m.target.Address), ReportLag: remoteReportLag}
+	return executor.Execute(ctx, e.Token, e.Epoch, e.Order)
+}
+
+// throughSidecar gives an order on the rank's own machine, where reports are fresh.
+func throughSidecar(ctx context.Context, link *peer.Link, e ranks.Give) (ranks.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, sidecarTimeout)
+	defer cancel()
 	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Order{Order: peer.RankOrderOf(e.Token, e.Epoch, e.Order)}})
 	if err != nil {
 		return ranks.Report{}, ranks.ErrUnanswered.Wrap(err, "sidecar")
--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"chervilswitch.example/shared/fleet"
@@ -21,12 +22,46 @@
 	SidecarPort uint16
 	Logger      log.Interface
 	Duty        *Duty
+	// Fenced tells that engines refuse orders with old fencing tokens.
+	Fenced bool
+	// Closed is called with the services whose group waits for a rank, whenever
+	// they change.
+	Closed func(services []string)
+
+	mutex  sync.Mutex
+	closed map[string]bool // By group.
+}
+
+// setClosed notes whether a group waits for a rank.
+func (p *Planner) setClosed(group string, closed bool) {
+	p.mutex.Lock()
+	changed := p.closed[group] != closed
+	if p.closed == nil {
+		p.closed = make(map[string]bool)
+	}
+	p.closed[group] = closed
+	var services []string
+	for name, isClosed := range p.closed {
+		if members := p.View().Members[name]; isClosed && len(members) > 0 {
+			services = append(services, members[0].Service)
+		}
+	}
+	p.mutex.Unlock()
+	if changed {
+		p.Closed(services)
+	}
 }
 
 // Run works on all groups until the context ends.
 func (p *Planner) Run(ctx context.Context, token uint64) {
 	running := make(map[string]*group)
 	ended := make(chan struct{})
+	defer func() {
+		p.mutex.Lock()
+		p.closed = nil
+		p.mutex.Unlock()
+		p.Closed(nil)
+	}()
 	count := 0
 	for ctx.Err() == nil {
 		view := p.View()
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -103,6 +103,13 @@
 // PeerLost forgets what another entry had running.
 type PeerLost struct{ Peer string }
 
+// GroupsClosed tells which services' groups of ranks wait for a rank, as an entry
+// instance knows it.
+type GroupsClosed struct {
+	Instance string
+	Services []string
+}
+
 // BudgetChanged sets the bound of repeated requests.
 type BudgetChanged struct{ Budget Budget }
 
@@ -117,6 +124,7 @@
 func (Fleet) event()         {}
 func (PeerLoad) event()      {}
 func (PeerLost) event()      {}
+func (GroupsClosed) event()  {}
 func (BudgetChanged) event() {}
 func (Tick) event()          {}
 
@@ -162,11 +170,13 @@
 	NoBudget
 	// NoAttempts means that the route allows no more targets.
 	NoAttempts
+	// GroupClosed means that the service's group waits for a rank.
+	GroupClosed
 )
 
 // String names the reason in logs.
 func (r Reason) String() string {
-	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts"}[r]
+	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed"}[r]
 }
 
 func (Dispatch) effect() {}
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -89,7 +89,7 @@
 
 // choose finds the target with the least work that a request may be sent to.
 func (s *service) choose(at time.Time, e *entry, st *State) (*target, int) {
-	if at.Before(s.paused) {
+	if at.Before(s.paused) || st.isClosed(s.Name) {
 		return nil, 0
 	}
 	limit := s.limit()
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -20,6 +20,9 @@
 	// noTargetRetryAfter is for a service without targets; a restarted target
 	// registers within a heartbeat.
 	noTargetRetryAfter = time.Second
+	// closedRetryAfter is for a group that waits for a rank: the rank restarts, and
+	// the group forms anew, within about two seconds.
+	closedRetryAfter = 1200 * time.Millisecond
 	// budgetShare is the part of the allowed repeats that is used: what other
 	// instances do is known late.
 	budgetShare = 0.7
@@ -41,6 +44,8 @@
 	services   map[string]*service
 	requests   map[RequestID]*entry
 	loads      loads
+	// closed lists the services whose groups wait for a rank, by who said so.
+	closed map[string][]string
 }
 
 // New gives a reducer for an instance of a data centre.
@@ -48,6 +53,7 @@
 	return &State{
 		dataCentre: dataCentre, budget: budget, entries: 1,
 		services: make(map[string]*service), requests: make(map[RequestID]*entry), loads: make(loads),
+		closed: make(map[string][]string),
 	}
 }
 
@@ -72,8 +78,12 @@
 	case PeerLoad:
 		st.loads[e.Peer] = e.Running
 		return st.drainAll(at)
+	case GroupsClosed:
+		st.closed[e.Instance] = e.Services
+		return st.drainAll(at)
 	case PeerLost:
 		delete(st.loads, e.Peer)
+		delete(st.closed, e.Peer)
 		return st.drainAll(at)
 	case BudgetChanged:
 		st.budget = e.Budget
@@ -131,6 +141,9 @@
 	if len(s.targets) == 0 {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: noTargetRetryAfter, Reason: NoTarget}}
 	}
+	if st.isClosed(r.Service) {
+		return []Effect{Refuse{ID: r.ID, RetryAfter: closedRetryAfter, Reason: GroupClosed}}
+	}
 	ahead := s.waiting.ahead(r.Priority)
 	if ahead == 0 {
 		if d, ok := st.dispatch(at, s, e); ok {
@@ -147,6 +160,15 @@
 	return nil
 }
 
+func (st *State) isClosed(service string) bool {
+	for _, services := range st.closed {
+		if slices.Contains(services, service) {
+			return true
+		}
+	}
+	return false
+}
+
 // patience is how long a request may wait and still be on time; one that is late
 // already gets a short wait.
 func (s *service) patience(r Request) time.Duration {
--- a/shared/fleet/record.go
+++ b/shared/fleet/record.go
@@ -13,6 +13,8 @@
 	EntryTopic
 	// DutyTopic holds claims of the planner's duty.
 	DutyTopic
+	// DemandTopic holds the demand for experts, by group of ranks.
+	DemandTopic
 )
 
 // String names the topic in logs.
@@ -24,6 +26,8 @@
 		return "targets"
 	case EntryTopic:
 		return "entries"
+	case DemandTopic:
+		return "demand"
 	default:
 		return "duties"
 	}
--- a/shared/peer/ranks.go
+++ b/shared/peer/ranks.go
@@ -37,8 +37,6 @@
 		m.Order = &RankOrder_HoldStep{HoldStep: o.Step}
 	case ranks.Arm:
 		m.Order = &RankOrder_Arm{Arm: &ArmMap{Version: o.Version, Step: o.Step}}
-	case ranks.Disarm:
-		m.Order = &RankOrder_DisarmVersion{DisarmVersion: o.Version}
 	case ranks.Release:
 		m.Order = &RankOrder_ReleaseStep{ReleaseStep: o.Step}
 	}
@@ -54,8 +52,6 @@
 		return ranks.Hold{Step: o.HoldStep}
 	case *RankOrder_Arm:
 		return ranks.Arm{Version: o.Arm.GetVersion(), Step: o.Arm.GetStep()}
-	case *RankOrder_DisarmVersion:
-		return ranks.Disarm{Version: o.DisarmVersion}
 	case *RankOrder_ReleaseStep:
 		return ranks.Release{Step: o.ReleaseStep}
 	default:
--- a/shared/ranks/event.go
+++ b/shared/ranks/event.go
@@ -12,7 +12,9 @@
 // Ended is the end of an order: nil, or an error that matches ErrRefused,
 // ErrFenced or ErrUnanswered. Report is the last one that was read.
 type Ended struct {
-	Rank   int
+	Rank int
+	// Token is the fencing token that the order bore.
+	Token  uint64
 	Order  Order
 	Report Report
 	Err    error
--- a/shared/ranks/executor.go
+++ b/shared/ranks/executor.go
@@ -21,6 +21,10 @@
 	Engine Engine
 	// ReportLag is the age of the engine's reports as seen from here.
 	ReportLag time.Duration
+	// Fenced tells, before each try, whether a higher token has ordered the rank
+	// since; the process may have been paused between two tries. Unset means that
+	// only the engine knows.
+	Fenced func(token uint64) error
 }
 
 // Execute sends an order until its effect is certain, one way or the other, or the
@@ -28,7 +32,12 @@
 // the rank remember the fencing token. Errors match ErrRefused, ErrFenced or
 // ErrUnanswered; the report is the last one read.
 func (x *Executor) Execute(ctx context.Context, token, epoch uint64, order Order) (Report, error) {
-	for sent := false; ; sent = true {
+	for sent := false; ; {
+		if x.Fenced != nil {
+			if err := x.Fenced(token); err != nil {
+				return Report{}, err
+			}
+		}
 		report, err := x.report(ctx)
 		if err == nil {
 			if report.Epoch != epoch {
@@ -37,6 +46,7 @@
 			if sent && holds(report, order) {
 				return report, nil
 			}
+			sent = true
 			command := Command{Order: order, Token: token, Epoch: epoch, Expected: report.Sequence}
 			err = x.send(ctx, command)
 		}
@@ -90,10 +100,8 @@
 		return r.Held && r.HeldStep == o.Step
 	case Arm:
 		return r.Armed == o.Version || r.Map == o.Version
-	case Disarm:
-		return r.Armed != o.Version && r.Map != o.Version
 	case Release:
-		return r.Step >= o.Step
+		return r.Step >= o.Step || !r.Held || r.HeldStep != o.Step
 	default:
 		return false
 	}
--- a/shared/ranks/switcher.go
+++ b/shared/ranks/switcher.go
@@ -14,13 +14,16 @@
 	prepareSlack = 1500 * time.Millisecond
 	// retryEvery is when an order that was refused is given again.
 	retryEvery = 50 * time.Millisecond
-	// armTimeout is when arming is given up and undone. It is longer than a
-	// crashed rank needs to show a new epoch.
-	armTimeout = 3 * time.Second
+	// fenceStep is a pass that no group reaches: at 20 passes a second it is 1,700
+	// years away.
+	fenceStep = 1 << 40
 	// settleTime is when reports from before a release have been replaced.
 	settleTime = 500 * time.Millisecond
 	// versionsPerToken leaves each holder of the duty its own versions.
 	versionsPerToken = 1 << 20
+	// fencesPerToken leaves each holder of the duty its own fencing tokens: one for
+	// each switch, and one more for undoing it.
+	fencesPerToken = 1 << 20
 )
 
 // phase is how far a switch has come.
@@ -28,16 +31,17 @@
 
 const (
 	idle phase = iota
+	fencing
+	unfencing
 	preparing
 	holding
 	arming
-	disarming
 	releasing
 )
 
 // String names the phase in logs.
 func (p phase) String() string {
-	return [...]string{"idle", "preparing", "holding", "arming", "disarming", "releasing"}[p]
+	return [...]string{"idle", "fencing", "unfencing", "preparing", "holding", "arming", "releasing"}[p]
 }
 
 // Switcher moves a group from map to map. A switch prepares the map on all ranks,
@@ -45,18 +49,26 @@
 // every rank has confirmed. A rank that confirmed switches by itself, so until all
 // have confirmed or none is armed, the pass stays held.
 //
-// Orders that got no answer may be carried out late: a late Prepare names an old
+// A switch whose pass is held is never undone, only completed: all ranks are
+// prepared, so arming the rest is always possible, and whoever releases the pass has
+// seen every rank armed. So two holders of the duty that do not know of each other
+// agree, and orders that are carried out late do no harm: a late Prepare names an old
 // version, a late Hold or Arm a pass that has begun, a late Release one that is not
-// held. The executor's expected sequence covers the rest.
+// held.
 //
-// A new holder of the duty finds held passes in the reports and completes the
-// switch that it finds. The zero value serves nobody; use NewSwitcher.
+// A new holder of the duty does not know what is under way. It first fences all
+// ranks, by a hold far ahead that it takes back: ranks then refuse all earlier
+// orders, and their reports are final. A rank that is held already keeps its hold,
+// and the switch that the hold belongs to is completed. The zero value serves
+// nobody; use NewSwitcher.
 type Switcher struct {
 	token uint64
 	count uint64 // Versions that were given out under this token.
+	fence uint64 // Fencing tokens that were used under this token.
 	copy  time.Duration
 
 	epoch   uint64
+	fenced  bool // All ranks were fenced in this epoch.
 	reports map[int]Report
 	size    int
 
@@ -70,6 +82,7 @@
 	open    map[int]time.Time // When an order to a rank was given or refused.
 	given   map[int]bool      // Ranks with an order that has not ended.
 	settled time.Time         // When the last switch ended.
+	taken   map[int]uint64    // The holds that unfencing takes back, by rank.
 }
 
 // NewSwitcher gives a switcher for the holder of a fencing token; expertCopy is how
@@ -81,7 +94,7 @@
 // Idle reports whether a switch can be planned: all ranks are known and open, have
 // one map, and nothing is under way.
 func (s *Switcher) Idle() bool {
-	if s.phase != idle || s.size == 0 || len(s.reports) < s.size {
+	if s.phase != idle || s.size == 0 || len(s.reports) < s.size || !s.fenced {
 		return false
 	}
 	first := s.reports[0].Map
@@ -150,6 +163,7 @@
 		s.epoch, s.size = r.Epoch, r.Ranks
 		clear(s.reports)
 		s.rest()
+		s.fenced = false
 	}
 	s.reports[r.Rank] = r
 	return append(effects, s.advance(at)...)
@@ -160,8 +174,17 @@
 	s.done, s.open, s.given = nil, nil, nil
 }
 
+// fenceHold is the pass that fencing holds.
+func (s *Switcher) fenceHold() uint64 { return fenceStep + s.fencingToken() }
+
+// fencingToken is the token that orders bear now.
+func (s *Switcher) fencingToken() uint64 { return s.token*fencesPerToken + s.fence }
+
 // enter begins a phase and gives its order to the ranks concerned.
 func (s *Switcher) enter(at time.Time, p phase) []Effect {
+	if s.phase == idle {
+		s.fence++
+	}
 	s.phase, s.since = p, at
 	s.done, s.open, s.given = make(map[int]bool), make(map[int]time.Time), make(map[int]bool)
 	return s.give(at)
@@ -180,7 +203,7 @@
 			continue
 		}
 		s.given[rank], s.open[rank] = true, at
-		effects = append(effects, Give{Rank: rank, Token: s.token, Epoch: s.epoch, Order: order})
+		effects = append(effects, Give{Rank: rank, Token: s.fencingToken(), Epoch: s.epoch, Order: order})
 	}
 	return effects
 }
@@ -188,6 +211,12 @@
 // order is what the phase asks of a rank, or nil.
 func (s *Switcher) order(rank int) Order {
 	switch s.phase {
+	case fencing:
+		return Hold{Step: s.fenceHold()}
+	case unfencing:
+		if step := s.taken[rank]; step != 0 {
+			return Release{Step: step}
+		}
 	case preparing:
 		return Prepare{Version: s.version, Map: s.planned}
 	case holding:
@@ -196,8 +225,6 @@
 		}
 	case arming:
 		return Arm{Version: s.version, Step: s.step}
-	case disarming:
-		return Disarm{Version: s.version}
 	case releasing:
 		if rank == s.holder {
 			return Release{Step: s.step}
@@ -210,19 +237,26 @@
 	if !s.Idle() {
 		return nil
 	}
+	s.version, s.planned = s.nextVersion(), m
+	return s.enter(at, preparing)
+}
+
+// nextVersion is higher than all versions that the ranks have had.
+func (s *Switcher) nextVersion() uint64 {
 	highest := uint64(0)
 	for _, r := range s.reports {
 		highest = max(highest, r.Map, r.Prepared, r.Armed)
 	}
 	s.count++
-	s.version = max(highest+1, s.token*versionsPerToken+s.count)
-	s.planned = m
-	return s.enter(at, preparing)
+	return max(highest+1, s.token*versionsPerToken+s.count)
 }
 
 // end takes the end of an order. Orders of an earlier phase no longer matter: a
 // confirmation shows in the reports too.
 func (s *Switcher) end(at time.Time, e Ended) []Effect {
+	if e.Token != s.fencingToken() {
+		return nil // It belongs to an earlier switch, or was undone.
+	}
 	if errors.Is(e.Err, ErrFenced) {
 		return []Effect{Deposed{}}
 	}
@@ -233,6 +267,9 @@
 		return nil
 	}
 	s.given[e.Rank] = false
+	if s.phase == fencing || s.phase == unfencing {
+		return s.endFence(at, e)
+	}
 	if e.Err == nil {
 		if s.phase != preparing { // A preparation is done when the copy is.
 			s.done[e.Rank] = true
@@ -249,6 +286,27 @@
 	return s.advance(at)
 }
 
+// endFence takes the end of an order that fences a rank or ends that. A rank that
+// is held otherwise cannot be fenced and need not be: its hold shows what is under
+// way.
+func (s *Switcher) endFence(at time.Time, e Ended) []Effect {
+	if e.Report.Ranks != 0 {
+		s.reports[e.Rank] = e.Report
+	}
+	foreign := errors.Is(e.Err, ErrRefused) && e.Report.Held && e.Report.HeldStep != s.fenceHold()
+	switch {
+	case e.Err == nil && s.phase == fencing:
+		s.done[e.Rank], s.taken[e.Rank] = true, s.fenceHold()
+	case e.Err == nil:
+		s.done[e.Rank] = true
+	case foreign && s.phase == fencing && e.Report.HeldStep < fenceStep:
+		s.done[e.Rank] = true
+	case foreign && s.phase == fencing: // Another holder's fence that was left.
+		return []Effect{Give{Rank: e.Rank, Token: s.fencingToken(), Epoch: s.epoch, Order: Release{Step: e.Report.HeldStep}}}
+	}
+	return s.advance(at)
+}
+
 // same compares what makes an order the phase's own.
 func same(a, b Order) bool {
 	switch x := a.(type) {
@@ -270,6 +328,14 @@
 	switch s.phase {
 	case idle:
 		return s.recover(at)
+	case fencing:
+		if len(s.done) == s.size {
+			return s.enter(at, unfencing)
+		}
+	case unfencing:
+		if len(s.done) == len(s.taken) {
+			return s.resolve(at)
+		}
 	case preparing:
 		if s.all(func(r Report) bool { return r.Prepared == s.version }) {
 			s.holder, s.step = 0, s.Step()+holdLead
@@ -288,14 +354,6 @@
 		if len(s.done) == s.size {
 			return s.enter(at, releasing)
 		}
-		if at.Sub(s.since) > armTimeout {
-			return s.enter(at, disarming)
-		}
-	case disarming:
-		if len(s.done) == s.size {
-			s.planned = nil
-			return s.enter(at, releasing)
-		}
 	case releasing:
 		if s.done[s.holder] {
 			return s.finish(at)
@@ -324,27 +382,40 @@
 	return []Effect{Switched{Version: version, Map: m}}
 }
 
-// recover completes what an earlier holder of the duty, or a late order, left: a
-// pass that is held. If any rank may be armed, all have prepared that version, so
-// arming the others is always possible.
+// recover begins with fencing if the ranks may hold what an earlier holder of the
+// duty, or a late order, left.
 func (s *Switcher) recover(at time.Time) []Effect {
 	if len(s.reports) < s.size || at.Sub(s.settled) < settleTime {
 		return nil
 	}
-	for rank := range s.size {
-		r := s.reports[rank]
-		if !r.Held || r.HeldStep <= r.Step {
+	left := !s.fenced
+	for _, r := range s.reports {
+		left = left || r.Held && r.HeldStep > r.Step || r.Armed != 0
+	}
+	if !left {
+		return nil
+	}
+	s.taken = make(map[int]uint64)
+	return s.enter(at, fencing)
+}
+
+// resolve completes the switch that fenced ranks report, if any. A held pass with
+// ranks that are not all prepared belongs to no switch: nobody arms before all are.
+func (s *Switcher) resolve(at time.Time) []Effect {
+	s.fenced = true
+	for rank, r := range s.reports {
+		if !r.Held || r.HeldStep >= fenceStep || r.HeldStep <= r.Step {
 			continue
 		}
-		s.holder, s.step = rank, r.HeldStep
-		s.version = s.reports[0].Prepared
-		if s.version > s.reports[0].Map && s.all(func(r Report) bool { return r.Prepared == s.version }) {
+		s.holder, s.step, s.version, s.planned = rank, r.HeldStep, r.Prepared, nil
+		if r.Prepared > r.Map && s.all(func(o Report) bool { return o.Prepared == r.Prepared }) {
 			s.planned = Map{} // Its experts are read from the ranks afterwards.
 			return s.enter(at, arming)
 		}
-		s.planned = nil
 		return s.enter(at, releasing)
 	}
+	s.rest()
+	s.settled = at
 	return nil
 }
 
--- a/shared/ranks/types.go
+++ b/shared/ranks/types.go
@@ -73,16 +73,12 @@
 // Arm makes a rank switch to a prepared map as a pass begins.
 type Arm struct{ Version, Step uint64 }
 
-// Disarm undoes Arm.
-type Disarm struct{ Version uint64 }
-
 // Release lets the group begin the pass that was held.
 type Release struct{ Step uint64 }
 
 func (Prepare) order() {}
 func (Hold) order()    {}
 func (Arm) order()     {}
-func (Disarm) order()  {}
 func (Release) order() {}
 
 // Command is an order with what keeps it from being carried out too late.
--- a/shared/ranks/world_test.go
+++ b/shared/ranks/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,6 +26,7 @@
 	// loss is the part of orders that get no answer.
 	loss float64
 
+	trace    func(string, ...any)
 	broken   string
 	switches int
 	undone   int
@@ -71,7 +73,9 @@
 type trial struct {
 	give  Give
 	ticks int // Until the next try.
-	tries int
+	// deaf trials were given up by the holder of the duty and go on all the same, as
+	// those of a sidecar do that was paused.
+	deaf bool
 }
 
 func newWorld(seed uint64, size int, fenced bool) *world {
@@ -205,10 +209,14 @@
 // carryOut applies the engine's rules to an order.
 func (w *world) carryOut(rank int, c Command) error {
 	r := w.ranks[rank]
+	if w.trace != nil {
+		defer func(before simulatedRank) {
+			w.trace("t%d step %d rank %d order %T%v token %d -> map %d prep %d armed %d@%d held %v@%d", w.now.UnixMilli()/10%100000, w.step, rank, c.Order, c.Order, c.Token, r.mapping, r.prepared, r.armed, r.armedStep, r.held, r.heldStep)
+		}(*r)
+	}
 	if w.fenced && c.Token < r.fence {
 		return ErrFenced.New("token")
 	}
-	r.fence = max(r.fence, c.Token)
 	if c.Epoch != w.epoch {
 		return ErrRefused.New("epoch")
 	}
@@ -237,20 +245,14 @@
 			return ErrRefused.New("not prepared")
 		}
 		r.armed, r.armedStep = o.Version, o.Step
-	case Disarm:
-		if r.mapping == o.Version {
-			return ErrRefused.New("in use")
-		}
-		if r.armed != o.Version {
-			return nil
-		}
-		r.armed, r.armedStep = 0, 0
 	case Release:
 		if !r.held || r.heldStep != o.Step {
 			return ErrRefused.New("not held")
 		}
 		r.held, r.heldStep = false, 0
 	}
+	// Orders that begin nothing may leave no trace of their token.
+	r.fence = max(r.fence, c.Token)
 	r.sequence++
 	return nil
 }
@@ -296,10 +298,16 @@
 
 func (w *world) obey(p *simulatedPlanner, effects []Effect) {
 	for _, effect := range effects {
+		if w.trace != nil {
+			w.trace("t%d planner %d phase %s: %T %v", w.now.UnixMilli()/10%100000, p.token, p.switcher.Phase(), effect, effect)
+		}
 		switch e := effect.(type) {
 		case Give:
 			p.trying = append(p.trying, &trial{give: e, ticks: w.random.IntN(3)})
 		case Switched:
+			if w.trace != nil {
+				w.trace("planner %d switched %d", p.token, e.Version)
+			}
 			w.switches++
 		case Abandoned:
 			w.undone++
@@ -318,19 +326,37 @@
 		}
 		rank := t.give.Rank
 		if t.give.Token < w.ranks[rank].agentFence {
-			w.queue(p, Ended{Rank: rank, Order: t.give.Order, Err: ErrFenced.New("sidecar")})
+			if !t.deaf {
+				w.queue(p, Ended{Rank: rank, Token: t.give.Token, Order: t.give.Order, Err: ErrFenced.New("sidecar")})
+			}
 			return true
 		}
 		w.ranks[rank].agentFence = t.give.Token
 		ctx, cancel := context.WithCancel(context.Background())
 		engine := &simulatedEngine{world: w, rank: rank, stop: cancel}
-		report, err := (&Executor{Engine: engine}).Execute(ctx, t.give.Token, t.give.Epoch, t.give.Order)
+		report, err := (&Executor{Engine: engine, Fenced: w.fencedAt(rank)}).Execute(ctx, t.give.Token, t.give.Epoch, t.give.Order)
 		cancel()
-		w.queue(p, Ended{Rank: rank, Order: t.give.Order, Report: report, Err: err})
+		if !t.deaf {
+			w.queue(p, Ended{Rank: rank, Token: t.give.Token, Order: t.give.Order, Report: report, Err: err})
+		}
+		if errors.Is(err, ErrUnanswered) && w.random.IntN(4) == 0 {
+			t.deaf, t.ticks = true, 20+w.random.IntN(600)
+			return false
+		}
 		return true
 	})
 }
 
+// fencedAt is a sidecar's memory of tokens.
+func (w *world) fencedAt(rank int) func(uint64) error {
+	return func(token uint64) error {
+		if token < w.ranks[rank].agentFence {
+			return ErrFenced.New("sidecar")
+		}
+		return nil
+	}
+}
+
 // simulatedEngine answers one executor. A lost order ends the executor's time.
 type simulatedEngine struct {
 	world *world
--- a/sidecar/rank/sidecar.go
+++ b/sidecar/rank/sidecar.go
@@ -77,7 +77,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		executor := ranks.Executor{Engine: s.engine}
+		executor := ranks.Executor{Engine: s.engine, Fenced: s.fence}
 		report, err = executor.Execute(ctx, m.GetToken(), m.GetEpoch(), order)
 	}
 	fields := log.Fields{
@@ -93,7 +93,7 @@
 	}
 }
 
-// fence refuses orders of an earlier holder of the duty.
+// fence refuses orders with a lower token than one that was seen.
 func (s *Sidecar) fence(token uint64) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
