Plan exchanges of experts, limit each group by its own passes, read the store less

Plans stalled at a skew of 1.75: with 5 places a rank only 24 of 96 experts can have a second copy, and a plan could only add copies; one change of 16 sets never saved the 0.4 in 100 that was asked. Three groups shared one limit, so the slowest was overfilled. 0.056 of the prices were calls to the store: 17 instances read the targets' topic 2.5 times a second each. Ruled out: queueing (little was refused), processor time (the planner took 0.44 of a core, now 0.33). Change: plans exchange single copies between ranks, look for the best change set by set and copy as many experts for a switch as fit into 0.4 s; admission keeps a pass model for each group; two instances read targets for all, and instances tell each other changes but no heartbeats.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -317,7 +317,7 @@
 		if last.IsZero() {
 			a.firstEvent(now, response, id, resumed)
 		} else {
-			a.router.core.Tell(admission.Paused{Service: a.service, Gap: now.Sub(last)})
+			a.router.core.Tell(admission.Paused{Service: a.service, Target: a.target.ID, Gap: now.Sub(last)})
 			a.router.metrics.gap.RecordDuration(now.Sub(last))
 		}
 		last = now
--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -23,7 +23,7 @@
 	unknownRetryAfter = 500 * time.Millisecond
 	// staleAfter is when a configuration that was not confirmed is no reason to
 	// deny a request: a newer one may allow it.
-	staleAfter = 2500 * time.Millisecond
+	staleAfter = 4 * time.Second
 	// defaultTimeout is used where neither the route nor the caller sets one.
 	defaultTimeout = 30 * time.Second
 )
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -141,6 +141,7 @@
 	follower := &store.Follower{
 		Store: r.store, Sink: r.core, Logger: r.logger,
 		Entries: func(records []fleet.Record) { r.register(hard, records) },
+		Changed: r.entries.Wake, Reads: r.entries.Reads,
 	}
 	duty := &planner.Duty{Instance: r.options.Instance, Store: r.store, Leads: r.entries.Leads, Logger: r.logger}
 	r.entries.Duty = duty.Token
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +16,9 @@
 	"github.com/apex/log"
 )
 
+// SourceStore is the source of records that were read in the store, in order.
+const SourceStore = "store"
+
 const (
 	// lapseGrace is how long a target is still used whose registration lapsed while
 	// the store was away: targets that live are back within about two seconds of
@@ -41,9 +46,12 @@
 	mutex     sync.Mutex
 	admission *admission.State
 	directory *fleet.Directory
-	waiting   map[admission.RequestID]chan admission.Effect
-	next      admission.RequestID
-	entries   int
+	// changed holds, by topic and key, the offset of the last record that was more
+	// than a heartbeat.
+	changed map[fleet.Topic]map[string]int64
+	waiting map[admission.RequestID]chan admission.Effect
+	next    admission.RequestID
+	entries int
 
 	configuration *fleet.Configuration
 	targets       map[string]fleet.Target // All readable registrations, by ID.
@@ -59,6 +67,7 @@
 		options: o, entries: 1,
 		admission: admission.New(o.DataCentre, o.Budget),
 		directory: fleet.NewDirectory(),
+		changed:   make(map[fleet.Topic]map[string]int64),
 		waiting:   make(map[admission.RequestID]chan admission.Effect),
 		targets:   make(map[string]fleet.Target),
 		lapsed:    make(map[string]time.Time),
@@ -153,28 +162,42 @@
 	}
 }
 
-// End is the offset after the newest record that is known of a topic.
+// End is the offset up to which a topic was read in the store.
 func (c *Core) End(topic fleet.Topic) int64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.directory.End(topic)
 }
 
-// Since lists records from an offset on, for a peer that lacks them.
+// Since lists what changed from an offset on, for a peer that has not read it.
+// Heartbeats are left out.
 func (c *Core) Since(topic fleet.Topic, from int64) []fleet.Record {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if from >= c.directory.End(topic) {
-		return nil
+	var later []fleet.Record
+	for key, offset := range c.changed[topic] {
+		if offset < from {
+			continue
+		}
+		if r, ok := c.directory.Newest(topic, key); ok {
+			later = append(later, r)
+		}
 	}
-	return c.directory.Since(topic, from)
+	slices.SortFunc(later, func(a, b fleet.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	return later
 }
 
-// Learn takes records from the store or a peer.
-func (c *Core) Learn(records []fleet.Record, source string) {
+// Learn takes records from the store or a peer, and reports whether anything but
+// heartbeats was news.
+func (c *Core) Learn(records []fleet.Record, source string) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.take(c.directory.Apply(records), source)
+	if source == SourceStore {
+		for _, r := range records {
+			c.directory.Advance(r.Topic, r.Offset+1)
+		}
+	}
+	return c.take(c.directory.Apply(records), source)
 }
 
 // LearnListing takes all newest records of a topic.
@@ -203,24 +226,30 @@
 	c.view.Store(&view)
 }
 
-// take decodes what is new and publishes it.
-func (c *Core) take(news []fleet.Record, source string) {
-	if len(news) == 0 {
-		return
-	}
+// take decodes what is new and publishes it if it changes anything.
+func (c *Core) take(news []fleet.Record, source string) bool {
 	now := time.Now()
 	changed := false
 	for _, r := range news {
-		switch r.Topic {
-		case fleet.OperatorTopic:
-			changed = c.takeOperator(r, source) || changed
-		case fleet.TargetTopic:
-			changed = c.takeTarget(now, r, source) || changed
+		if c.takeOne(now, r, source) {
+			changed = true
+			if c.changed[r.Topic] == nil {
+				c.changed[r.Topic] = make(map[string]int64)
+			}
+			c.changed[r.Topic][r.Key] = r.Offset
 		}
 	}
 	if changed {
 		c.publish(now)
 	}
+	return changed
+}
+
+func (c *Core) takeOne(now time.Time, r fleet.Record, source string) bool {
+	if r.Topic == fleet.OperatorTopic {
+		return c.takeOperator(r, source)
+	}
+	return c.takeTarget(now, r, source)
 }
 
 func (c *Core) takeOperator(r fleet.Record, source string) bool {
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -32,7 +32,8 @@
 
 // Core is what the instances' news concern.
 type Core interface {
-	Learn(records []fleet.Record, source string)
+	// Learn reports whether anything but heartbeats was news.
+	Learn(records []fleet.Record, source string) bool
 	Tell(e admission.Event)
 	Running() map[string]int
 	End(topic fleet.Topic) int64
@@ -225,7 +226,9 @@
 			Topic: fleet.Topic(r.GetTopic()), Key: r.GetKey(), Offset: r.GetOffset(), Value: r.GetValue(), Removed: r.GetRemoved(),
 		}
 	}
-	s.core.Learn(records, m.GetInstance())
+	if s.core.Learn(records, m.GetInstance()) {
+		defer s.Wake()
+	}
 	running := make(map[string]int, len(m.GetRunning()))
 	for target, count := range m.GetRunning() {
 		running[target] = int(count)
@@ -285,6 +288,22 @@
 	return addresses
 }
 
+// readers is how many instances read the store for all.
+const readers = 2
+
+// Reads reports whether this instance is one of those that read the store for all.
+func (s *Set) Reads() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := 0
+	for name, o := range s.others {
+		if !o.stopping && time.Since(o.heard) < silence && name < s.self.Name {
+			before++
+		}
+	}
+	return before < readers
+}
+
 // Leads reports whether this instance should hold the planner's duty: nobody else
 // who is alive holds a higher token, and no live instance that holds none has a
 // lower name while nobody holds the duty.
--- a/router/planner/group.go
+++ b/router/planner/group.go
@@ -20,7 +20,15 @@
 
 const (
 	// watchInterval is how often a rank's counts come; passes take 0.05 to 0.1 s.
+	// largeInterval is the same for maps of more than largeCounts numbers, which
+	// would fill the links between data centres.
 	watchInterval = 100 * time.Millisecond
+	largeInterval = 200 * time.Millisecond
+	largeCounts   = 500
+	// prepareTime is how long the copying for one switch may take: demand shifts
+	// within seconds, and a plan is of no use until it is in force.
+	prepareTime = 400 * time.Millisecond
+	maxNew      = 4
 	// tickInterval lets the switcher give orders again.
 	tickInterval = 25 * time.Millisecond
 	// demandHalfLife is after how many passes what was chosen counts half. A group
@@ -267,7 +275,7 @@
 	if current == nil || !g.enough() {
 		return nil
 	}
-	planner := ranks.Planner{Places: g.engine.Places, NewPerRank: 1, Pace: g.paces()}
+	planner := ranks.Planner{Places: g.engine.Places, NewPerRank: g.newPerRank(), Pace: g.paces()}
 	next, saving := planner.Improve(current, g.demand)
 	if next == nil || saving < leastSaving {
 		return nil
@@ -280,6 +288,22 @@
 	return g.switcher.Reduce(now, ranks.Planned{Map: next})
 }
 
+// newPerRank is how many experts a rank can copy for one switch.
+func (g *group) newPerRank() int {
+	if g.engine.ExpertCopy <= 0 {
+		return maxNew
+	}
+	return min(maxNew, max(1, int(prepareTime/g.engine.ExpertCopy)))
+}
+
+func (g *group) interval() time.Duration {
+	if g.engine.Sets*g.engine.Experts > largeCounts {
+		return largeInterval
+	}
+	return watchInterval
+}
+
+// enough reports whether the demand is known well enough for a plan.
 func (g *group) enough() bool {
 	sum := 0.0
 	for _, tokens := range g.demand[0] {
@@ -417,7 +441,7 @@
 		return err
 	}
 	defer link.Close()
-	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Watch{Watch: &peer.RankWatch{Interval: int64(watchInterval)}}})
+	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Watch{Watch: &peer.RankWatch{Interval: int64(g.interval())}}})
 	if err != nil {
 		return err
 	}
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chervilswitch.example/platform"
+	"chervilswitch.example/router/core"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
 
@@ -16,19 +17,24 @@
 )
 
 const (
-	// longPoll is how long a read waits for a record. It is short enough that a
-	// connection which has gone silent is noticed before a change is due.
-	longPoll = 900 * time.Millisecond
-	// targetPause is the time between reads of the targets' topic, where each
-	// heartbeat is a record. A draining target is due out within 2 s.
-	targetPause = 400 * time.Millisecond
+	// longPoll is how long a read waits for a record.
+	longPoll = 2 * time.Second
+	// entryPoll is the same for the registrations of entry instances, which tell
+	// each other news besides.
+	entryPoll = 8 * time.Second
+	// targetPause is the time between a reader's reads of the targets' topic, where
+	// each heartbeat is a record. A draining target is due out within 2 s.
+	targetPause = 500 * time.Millisecond
+	// checkPause is the same for instances that hear of targets from a reader.
+	checkPause = 1300 * time.Millisecond
 	// retryPause is the time between calls while the store does not answer.
 	retryPause = 300 * time.Millisecond
 )
 
 // Sink takes what the store tells.
 type Sink interface {
-	Learn(records []fleet.Record, source string)
+	// Learn reports whether anything but heartbeats was news.
+	Learn(records []fleet.Record, source string) bool
 	LearnListing(topic fleet.Topic, l platform.Listing)
 	StoreAway(away bool)
 	Confirm()
@@ -41,6 +47,10 @@
 	Logger log.Interface
 	// Entries takes the registrations of entry instances.
 	Entries func(records []fleet.Record)
+	// Changed is called when the store told news.
+	Changed func()
+	// Reads reports whether this instance reads for the others.
+	Reads func() bool
 
 	mutex sync.Mutex
 	away  bool
@@ -65,8 +75,10 @@
 			next = -1
 		case err != nil:
 			next, pause = from, retryPause
-		case topic == fleet.TargetTopic:
+		case topic == fleet.TargetTopic && f.Reads():
 			pause = targetPause
+		case topic == fleet.TargetTopic:
+			pause = checkPause
 		}
 		if ctx.Err() == nil {
 			f.note(topic, err)
@@ -95,8 +107,11 @@
 		return listing.End, nil
 	}
 	wait := longPoll
-	if topic == fleet.TargetTopic {
+	switch topic {
+	case fleet.TargetTopic:
 		wait = 0
+	case fleet.EntryTopic:
+		wait = entryPoll
 	}
 	records, next, err := f.Store.Read(ctx, topic, from, wait)
 	if err != nil {
@@ -105,7 +120,9 @@
 	if topic == fleet.EntryTopic {
 		f.Entries(records)
 	} else {
-		f.Sink.Learn(records, "store")
+		if f.Sink.Learn(records, core.SourceStore) {
+			f.Changed()
+		}
 	}
 	f.confirm(topic)
 	return next, nil
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -79,10 +79,10 @@
 	return [...]string{"good", "failed", "broken", "unreachable", "full", "misplaced", "groupDown"}[o]
 }
 
-// Paused is the pause between two events of a stream.
+// Paused is the pause between two events of a stream from a target.
 type Paused struct {
-	Service string
-	Gap     time.Duration
+	Service, Target string
+	Gap             time.Duration
 }
 
 // Fleet is a service's targets and how many entry instances share them.
--- a/shared/admission/play_test.go
+++ b/shared/admission/play_test.go
@@ -235,7 +235,7 @@
 		gap := p.now.Sub(s.last)
 		p.result.worstGap = max(p.result.worstGap, gap)
 		s.late = s.late || gap > playGap
-		p.do(Paused{Service: playService, Gap: gap})
+		p.do(Paused{Service: playService, Target: s.target, Gap: gap})
 	}
 	s.last = p.now
 	if s.events--; s.events > 0 {
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -30,9 +30,10 @@
 	order   []string // Targets' names, sorted, so that choices repeat.
 	turn    int      // Where the search for a target begins.
 	waiting queue
-	passes  passModel
-	maxGap  time.Duration
-	paused  time.Time // Until when the group takes nothing.
+	// passes is by group of ranks; targets of no group share one.
+	passes map[string]*passModel
+	maxGap time.Duration
+	paused time.Time // Until when the group takes nothing.
 
 	// finished is the smoothed time between two ends while requests wait.
 	finished time.Duration
@@ -43,7 +44,7 @@
 }
 
 func newService() *service {
-	return &service{targets: make(map[string]*target), finished: startInterval}
+	return &service{targets: make(map[string]*target), passes: make(map[string]*passModel), finished: startInterval}
 }
 
 // update takes a new list of targets and keeps what is known of those that stay.
@@ -66,25 +67,34 @@
 	s.order = slices.Sorted(maps.Keys(kept))
 }
 
-// limit is how much each target may have from all entry instances.
-func (s *service) limit() int {
-	if s.Engine != nil {
-		return s.passes.limit(s.Engine, s.maxGap)
+// pass is the model of a group's passes.
+func (s *service) pass(group string) *passModel {
+	p, ok := s.passes[group]
+	if !ok {
+		p = &passModel{}
+		s.passes[group] = p
 	}
-	slots := 1
-	for _, t := range s.targets {
-		slots = max(slots, t.Slots)
+	return p
+}
+
+// limit is how much a target may have from all entry instances.
+func (s *service) limit(t *target) int {
+	if s.Engine != nil {
+		return s.pass(t.Group).limit(s.Engine, s.maxGap)
 	}
-	return slots * plainDepth
+	return t.Slots * plainDepth
 }
 
-// meanRunning is the requests that a target has, by what is known.
-func (s *service) meanRunning(loads loads) float64 {
-	sum := 0
+// meanRunning is the requests that a target of a group has, by what is known.
+func (s *service) meanRunning(group string, loads loads) float64 {
+	sum, count := 0, 0
 	for _, t := range s.targets {
-		sum += t.running + loads.of(t.ID)
+		if t.Group == group {
+			sum += t.running + loads.of(t.ID)
+			count++
+		}
 	}
-	return float64(sum) / float64(max(1, len(s.targets)))
+	return float64(sum) / float64(max(1, count))
 }
 
 // choose finds the target with the least work that a request may be sent to.
@@ -92,19 +102,26 @@
 	if at.Before(s.paused) || st.isClosed(s.Name) {
 		return nil, 0
 	}
-	limit := s.limit()
+	extra := 0
 	if e.ran+len(e.tried) > 0 {
-		limit++ // A retry has waited already.
+		extra = 1 // A retry has waited already.
 	}
+	limits := make(map[string]int, len(s.passes)+1)
 	var best *target
 	bestScore, bestRunning := 0.0, 0
 	for i := range s.order {
 		t := s.targets[s.order[(i+s.turn)%len(s.order)]]
 		running := t.running + st.loads.of(t.ID)
+		limit, ok := limits[t.Group]
+		if !ok {
+			limit = s.limit(t) + extra
+			limits[t.Group] = limit
+		}
 		if running >= limit || at.Before(t.resting) || slices.Contains(e.tried, t.ID) || t.cold(at, s.ColdRate, st.entries) {
 			continue
 		}
-		score := float64(running) + failurePenalty*t.failures + s.slowness(t)
+		// Groups differ in how much they bear; ranks of one group do not.
+		score := float64(running) - float64(limit) + failurePenalty*t.failures + s.slowness(t)
 		if t.DataCentre != st.dataCentre {
 			score += localPreference
 		}
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -108,8 +108,9 @@
 
 // Summary describes a service for logs and metrics.
 type Summary struct {
+	// Limit is the highest limit of a target.
 	Targets, Waiting, Limit int
-	// Gap is the smoothed pause between events.
+	// Gap is the smoothed pause between events of the slowest group.
 	Gap time.Duration
 }
 
@@ -117,7 +118,14 @@
 func (st *State) Summaries() map[string]Summary {
 	all := make(map[string]Summary, len(st.services))
 	for name, s := range st.services {
-		all[name] = Summary{Targets: len(s.targets), Waiting: s.waiting.length, Limit: s.limit(), Gap: s.passes.gap}
+		summary := Summary{Targets: len(s.targets), Waiting: s.waiting.length}
+		for _, t := range s.targets {
+			summary.Limit = max(summary.Limit, s.limit(t))
+		}
+		for _, p := range s.passes {
+			summary.Gap = max(summary.Gap, p.gap)
+		}
+		all[name] = summary
 	}
 	return all
 }
@@ -199,7 +207,7 @@
 	st.requests[e.request.ID] = e
 	return Dispatch{
 		ID: e.request.ID, Target: t.Target, Attempt: e.attempts,
-		Waited: at.Sub(e.arrived), Running: running, Limit: s.limit(),
+		Waited: at.Sub(e.arrived), Running: running, Limit: s.limit(t),
 	}, true
 }
 
@@ -278,8 +286,8 @@
 
 func (st *State) paused(at time.Time, e Paused) []Effect {
 	s := st.service(e.Service)
-	if s.Engine != nil {
-		s.passes.measure(at, s.Engine, e.Gap, s.meanRunning(st.loads))
+	if t, ok := s.targets[e.Target]; ok && s.Engine != nil {
+		s.pass(t.Group).measure(at, s.Engine, e.Gap, s.meanRunning(t.Group, st.loads))
 	}
 	return nil
 }
--- a/shared/fleet/directory.go
+++ b/shared/fleet/directory.go
@@ -19,9 +19,13 @@
 	return &Directory{records: make(map[Topic]map[string]Record), ends: make(map[Topic]int64)}
 }
 
-// End is the offset after the newest record that is known of a topic.
+// End is the offset up to which a topic was read in the store. Records that came
+// from peers may be later.
 func (d *Directory) End(topic Topic) int64 { return d.ends[topic] }
 
+// Advance notes that a topic was read up to an offset.
+func (d *Directory) Advance(topic Topic, end int64) { d.ends[topic] = max(d.ends[topic], end) }
+
 // Apply takes records and returns those that are news.
 func (d *Directory) Apply(records []Record) []Record {
 	var news []Record
@@ -31,7 +35,6 @@
 			keys = make(map[string]Record)
 			d.records[r.Topic] = keys
 		}
-		d.ends[r.Topic] = max(d.ends[r.Topic], r.Offset+1)
 		if known, ok := keys[r.Key]; ok && known.Offset >= r.Offset {
 			continue
 		}
@@ -55,22 +58,14 @@
 			removed = append(removed, Record{Topic: topic, Key: key, Offset: end - 1, Removed: true})
 		}
 	}
-	d.ends[topic] = max(d.ends[topic], end)
+	d.Advance(topic, end)
 	return append(news, d.Apply(removed)...)
 }
 
-// Since lists the records of a topic from an offset on, oldest first.
-func (d *Directory) Since(topic Topic, from int64) []Record {
-	var later []Record
-	for _, r := range d.records[topic] {
-		if r.Offset >= from {
-			later = append(later, r)
-		}
-	}
-	slices.SortFunc(later, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Key, b.Key))
-	})
-	return later
+// Newest gives the newest record of a key.
+func (d *Directory) Newest(topic Topic, key string) (Record, bool) {
+	r, ok := d.records[topic][key]
+	return r, ok
 }
 
 // Keys lists the records of a topic that are in force, by key.
--- a/shared/ranks/plan.go
+++ b/shared/ranks/plan.go
@@ -10,9 +10,9 @@
 	// candidates is how many experts of a set, those with the most work a copy,
 	// are tried for another copy; the others cannot be a rank's largest part.
 	candidates = 20
-	// leastGain is the least part of the experts' time that one more copy must
-	// save. Below it the copying costs more than it saves in its time.
-	leastGain = 0.004
+	// leastGain is the least part of a set's time that one more copy must save.
+	// Below it the copying costs more than it saves in its time.
+	leastGain = 0.012
 )
 
 // Demand is the work of each expert: by set, then by expert.
@@ -93,7 +93,10 @@
 type change struct {
 	set, rank int
 	add, drop int // drop is -1 for a free place.
-	gain      float64
+	// giver exchanges the two experts with the rank; -1 if it keeps its copy.
+	giver int
+	// gain is the time saved for each expert that is copied.
+	gain float64
 }
 
 // Improve changes a map for the demand, and returns the new map with the part of
@@ -105,14 +108,31 @@
 	for rank := range budget {
 		budget[rank] = p.NewPerRank
 	}
+	found := make([]change, len(current)) // The best change of each set.
+	stale := make([]bool, len(current))
+	for set := range stale {
+		stale[set] = true
+	}
 	changed := false
 	for {
-		best := p.best(b, current, budget)
-		if best.gain < leastGain*before {
+		best := change{}
+		for set := range found {
+			if stale[set] || !allowed(found[set], budget) {
+				found[set], stale[set] = p.best(b, current, budget, set), false
+			}
+			if found[set].gain > best.gain {
+				best = found[set]
+			}
+		}
+		if best.gain < leastGain*before/float64(len(current)) {
 			break
 		}
 		b.apply(best)
+		stale[best.set] = true
 		budget[best.rank]--
+		if best.giver >= 0 {
+			budget[best.giver]--
+		}
 		changed = true
 	}
 	if !changed {
@@ -121,6 +141,11 @@
 	return b.experts, 1 - b.cost()/before
 }
 
+// allowed reports whether the ranks of a change may still copy an expert.
+func allowed(c change, budget []int) bool {
+	return c.gain == 0 || budget[c.rank] > 0 && (c.giver < 0 || budget[c.giver] > 0)
+}
+
 // cost is the sum of each set's smoothed largest load.
 func (b *board) cost() float64 {
 	sum := 0.0
@@ -137,9 +162,12 @@
 	for _, load := range loads {
 		sum += power(load)
 	}
-	return math.Sqrt(math.Sqrt(math.Sqrt(sum)))
+	return root(sum)
 }
 
+// root is the eighth root.
+func root(x float64) float64 { return math.Sqrt(math.Sqrt(math.Sqrt(x))) }
+
 // power is the eighth power.
 func power(x float64) float64 {
 	x *= x
@@ -147,30 +175,77 @@
 	return x * x
 }
 
-// best finds the change that lowers the cost most.
-func (p *Planner) best(b *board, origin Map, budget []int) change {
-	best := change{}
-	for set := range b.experts {
-		sum := 0.0
-		for _, load := range b.loads[set] {
-			sum += power(load)
+// best finds the change of a set that saves most for each expert that is copied.
+func (p *Planner) best(b *board, origin Map, budget []int, set int) change {
+	best := change{giver: -1}
+	sum := 0.0
+	for _, load := range b.loads[set] {
+		sum += power(load)
+	}
+	current := smoothMax(b.loads[set])
+	hot := b.hottest(set)
+	for rank, left := range budget {
+		if left == 0 {
+			continue
+		}
+		drops := p.drops(b, origin, set, rank)
+		for _, add := range hot {
+			if slices.Contains(b.experts[set][rank], add) {
+				continue
+			}
+			for _, drop := range drops {
+				gain := current - root(b.powersAfter(sum, set, rank, add, drop))
+				if gain > best.gain {
+					best = change{set: set, rank: rank, add: add, drop: drop, giver: -1, gain: gain}
+				}
+			}
+		}
+	}
+	if exchange := p.exchange(b, origin, budget, set); exchange.gain > best.gain {
+		return exchange
+	}
+	return best
+}
+
+// exchange finds the best exchange of single copies between the most loaded rank
+// and another one. It copies two experts.
+func (p *Planner) exchange(b *board, origin Map, budget []int, set int) change {
+	best := change{giver: -1}
+	loads := b.loads[set]
+	slow := 0
+	for rank := range loads {
+		if loads[rank] > loads[slow] {
+			slow = rank
 		}
-		current := smoothMax(b.loads[set])
-		hot := b.hottest(set)
-		for rank, left := range budget {
-			if left == 0 {
+	}
+	if budget[slow] == 0 {
+		return best
+	}
+	sum := 0.0
+	for _, load := range loads {
+		sum += power(load)
+	}
+	current := root(sum)
+	for rank, left := range budget {
+		if left == 0 || rank == slow || loads[rank] >= loads[slow] {
+			continue
+		}
+		rest := sum - power(loads[slow]) - power(loads[rank])
+		for _, heavy := range b.experts[set][slow] {
+			if slices.Contains(b.experts[set][rank], heavy) || !slices.Contains(origin[set][slow], heavy) {
 				continue
 			}
-			drops := p.drops(b, origin, set, rank)
-			for _, add := range hot {
-				if slices.Contains(b.experts[set][rank], add) {
+			for _, light := range b.experts[set][rank] {
+				if slices.Contains(b.experts[set][slow], light) || !slices.Contains(origin[set][rank], light) {
 					continue
 				}
-				for _, drop := range drops {
-					after := math.Sqrt(math.Sqrt(math.Sqrt(b.powersAfter(sum, set, rank, add, drop))))
-					if gain := current - after; gain > best.gain {
-						best = change{set: set, rank: rank, add: add, drop: drop, gain: gain}
-					}
+				moved := b.share(set, heavy, 0) - b.share(set, light, 0)
+				if moved <= 0 {
+					continue
+				}
+				after := root(rest + power(loads[slow]-moved*b.slowness(slow)) + power(loads[rank]+moved*b.slowness(rank)))
+				if gain := (current - after) / 2; gain > best.gain {
+					best = change{set: set, rank: rank, add: heavy, drop: light, giver: slow, gain: gain}
 				}
 			}
 		}
@@ -238,13 +313,10 @@
 
 // apply makes a change.
 func (b *board) apply(c change) {
-	if c.drop >= 0 {
-		at := slices.Index(b.experts[c.set][c.rank], c.drop)
-		b.experts[c.set][c.rank] = slices.Delete(b.experts[c.set][c.rank], at, at+1)
-		b.copies[c.set][c.drop]--
+	b.replace(c.set, c.rank, c.drop, c.add)
+	if c.giver >= 0 {
+		b.replace(c.set, c.giver, c.add, c.drop)
 	}
-	b.experts[c.set][c.rank] = append(b.experts[c.set][c.rank], c.add)
-	b.copies[c.set][c.add]++
 	for rank, experts := range b.experts[c.set] {
 		b.loads[c.set][rank] = 0
 		for _, expert := range experts {
@@ -252,3 +324,15 @@
 		}
 	}
 }
+
+// replace puts an expert on a rank, in the place of another one or in a free one.
+func (b *board) replace(set, rank, drop, add int) {
+	held := b.experts[set][rank]
+	if drop >= 0 {
+		at := slices.Index(held, drop)
+		held = slices.Delete(held, at, at+1)
+		b.copies[set][drop]--
+	}
+	b.experts[set][rank] = append(held, add)
+	b.copies[set][add]++
+}
--- /dev/null
+++ b/shared/ranks/plan_test.go
@@ -0,0 +1,110 @@
+package ranks
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// firstMap assigns experts in turn.
+func firstMap(sets, ranks, experts int) Map {
+	m := make(Map, sets)
+	for set := range m {
+		m[set] = make([][]int, ranks)
+		for expert := range experts {
+			m[set][expert%ranks] = append(m[set][expert%ranks], expert)
+		}
+	}
+	return m
+}
+
+// skewedDemand is work that falls with an expert's place in a random order.
+func skewedDemand(random *rand.Rand, sets, experts int) Demand {
+	d := make(Demand, sets)
+	for set := range d {
+		d[set] = make([]float64, experts)
+		for place, expert := range random.Perm(experts) {
+			d[set][expert] = 1e5 / math.Pow(float64(place+1), 1.1)
+		}
+	}
+	return d
+}
+
+// checkMap checks what every engine asks of a map, and of a change to it.
+func checkMap(c *qt.C, before, after Map, experts, places, newPerRank int) {
+	fresh := make([]int, len(after[0]))
+	for set := range after {
+		seen := make([]bool, experts)
+		for rank, held := range after[set] {
+			c.Assert(len(held) <= places, qt.IsTrue)
+			sorted := slices.Clone(held)
+			slices.Sort(sorted)
+			c.Assert(len(slices.Compact(sorted)), qt.Equals, len(held))
+			for _, expert := range held {
+				seen[expert] = true
+				if !slices.Contains(before[set][rank], expert) {
+					fresh[rank]++
+				}
+			}
+		}
+		c.Assert(slices.Contains(seen, false), qt.IsFalse)
+	}
+	for _, n := range fresh {
+		c.Assert(n <= newPerRank, qt.IsTrue)
+	}
+}
+
+// The sizes of both sites, today and grown: repeated plans come close to an even
+// load, and each is a valid map that copies no more than allowed.
+func TestPlansEvenOutTheLoad(t *testing.T) {
+	for _, size := range []struct{ sets, ranks, experts, places, fresh, plans int }{
+		{3, 12, 96, 11, 1, 12}, {16, 24, 96, 5, 2, 40},
+	} {
+		for seed := range uint64(5) {
+			c := qt.New(t)
+			demand := skewedDemand(rand.New(rand.NewPCG(seed, 3)), size.sets, size.experts)
+			m := firstMap(size.sets, size.ranks, size.experts)
+			start := Skew(m, demand)
+			p := Planner{Places: size.places, NewPerRank: size.fresh}
+			for range size.plans {
+				next, saving := p.Improve(m, demand)
+				if next == nil {
+					break
+				}
+				c.Assert(saving > 0, qt.IsTrue)
+				checkMap(c, m, next, size.experts, size.places, size.fresh)
+				m = next
+			}
+			c.Logf("seed %d, %d ranks: skew %.2f to %.2f", seed, size.ranks, start, Skew(m, demand))
+			c.Assert(Skew(m, demand) <= 1.4, qt.IsTrue, qt.Commentf("skew %.3f", Skew(m, demand)))
+		}
+	}
+}
+
+// A slow rank is given less.
+func TestSlowRankGetsLess(t *testing.T) {
+	demand := skewedDemand(rand.New(rand.NewPCG(1, 1)), 1, 96)
+	m := firstMap(1, 12, 96)
+	pace := make([]float64, 12)
+	pace[3] = 3
+	p := Planner{Places: 11, NewPerRank: 1, Pace: pace}
+	for range 15 {
+		if next, _ := p.Improve(m, demand); next != nil {
+			m = next
+		}
+	}
+	b := newBoard(m, demand, nil)
+	qt.Assert(t, b.loads[0][3] < 0.6, qt.IsTrue, qt.Commentf("load %.2f", b.loads[0][3]))
+}
+
+func BenchmarkImprove(b *testing.B) {
+	demand := skewedDemand(rand.New(rand.NewPCG(1, 1)), 16, 96)
+	m := firstMap(16, 24, 96)
+	p := Planner{Places: 5, NewPerRank: 2}
+	for b.Loop() {
+		p.Improve(m, demand)
+	}
+}
--- a/shared/ranks/switcher.go
+++ b/shared/ranks/switcher.go
@@ -279,6 +279,10 @@
 	if e.Report.Ranks != 0 && e.Report.Epoch == s.epoch {
 		s.reports[e.Rank] = e.Report
 	}
+	if r := e.Report; s.phase == holding && errors.Is(e.Err, ErrRefused) && r.Held && r.HeldStep > r.Step {
+		// A hold of this planner that was carried out late. Nothing is armed for it.
+		return []Effect{Give{Rank: e.Rank, Token: s.fencingToken(), Epoch: s.epoch, Order: Release{Step: r.HeldStep}}}
+	}
 	if s.phase == holding && errors.Is(e.Err, ErrRefused) {
 		s.step = max(s.step, s.Step()) + holdLead // The pass had begun.
 		s.open[e.Rank] = time.Time{}
