--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # Few targets: what each needs is installed by `make setup`, which the others call.
 
-MODULES := shared platform router sidecar standin entry agent operate demo measure
+MODULES := shared platform router sidecar soak standin entry agent operate demo measure
 PACKAGES := $(MODULES:%=./%/...)
 ARGS ?=
 
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: setup demo test lint model measure capacity fuzz bench build generate
+.PHONY: setup build-platform soak demo test lint model measure capacity fuzz bench build generate
 
 setup:
 	@command -v spin >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq spin gcc make; } >/dev/null
@@ -18,6 +18,16 @@
 	go build -o bin/chervil ./operate
 	go build -o bin/chervil-standin ./standin
 
+build-platform:
+	go build -ldflags=-linkmode=external -o target/ ./router ./sidecar
+
+# Random faults around the real programs; seeds FIRST to FIRST + SEEDS - 1.
+SEEDS ?= 50
+FIRST ?= 1
+
+soak:
+	cd soak && go test -count=1 -v -timeout 60m . -args -first $(FIRST) -seeds $(SEEDS)
+
 demo:
 	go run ./demo $(ARGS)
 
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -512,3 +512,18 @@
 		qt.Assert(t, strings.Contains(err.Error(), key), qt.IsTrue, qt.Commentf("%s", key))
 	}
 }
+
+// A target that restarted at its address leaves its old registration for a while;
+// only the new one is used.
+func TestNewestRegistrationOfAnAddress(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo})
+	d.replicas["i-1"].ID = "i-2"
+	entry := d.replicas["i-1"].Entry("svc", "dc-a", "ready")
+	entry["born"] = 2
+	d.store.PutTarget("i-2", entry)
+	d.eventually("only the new registration is used", func() bool {
+		targets := d.routers[0].core.View().Targets["svc"]
+		return len(targets) == 1 && targets[0].ID == "i-2"
+	})
+	d.Assert(d.must(platformtest.Call{Path: oncePath, Attempt: "a"}).status, qt.Equals, http.StatusOK)
+}
--- /dev/null
+++ b/shared/admission/limits_test.go
@@ -0,0 +1,106 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chervilswitch.example/shared/fleet"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// sharedStates is the reducers of several entry instances that know nothing of each other
+// but their number.
+func sharedStates(entries int, service fleet.Service, targets ...fleet.Target) []*State {
+	var states []*State
+	for range entries {
+		st := New("a", Budget{Ratio: 0.2, Slack: 92})
+		st.Reduce(time.Unix(50, 0), Fleet{Service: service, Targets: targets, Entries: entries})
+		states = append(states, st)
+	}
+	return states
+}
+
+// A cold target gets no more in any second from all instances together than it
+// bears: the load of a data centre that comes back at once.
+func TestColdRateIsShared(t *testing.T) {
+	const coldRate = 38.0
+	service := fleet.Service{Name: playService, ColdRate: coldRate}
+	target := fleet.Target{ID: "t", Service: playService, Slots: 10000}
+	for _, entries := range []int{1, 4, 17} {
+		c := qt.New(t)
+		sent := 0
+		now := time.Unix(50, 0)
+		for _, st := range sharedStates(entries, service, target) {
+			at := now
+			for i := range 1000 { // 1,000 requests in a second at each instance.
+				at = at.Add(time.Millisecond)
+				effects := st.Reduce(at, Submit{Request: Request{ID: RequestID(i + 1), Service: playService, MaxAttempts: 1}})
+				for _, e := range append(effects, st.Reduce(at, Tick{})...) {
+					if d, ok := e.(Dispatch); ok {
+						sent++
+						st.Reduce(at, Finish{ID: d.ID})
+					}
+				}
+			}
+		}
+		c.Assert(float64(sent) <= coldRate*1.5+5, qt.IsTrue, qt.Commentf("%d instances sent %d", entries, sent))
+		c.Assert(float64(sent) >= coldRate/2, qt.IsTrue, qt.Commentf("%d instances sent %d", entries, sent))
+	}
+}
+
+// However many attempts fail, all instances together repeat no more than the budget
+// allows: the load of grey targets under callers that press.
+func TestRetriesKeepToTheBudget(t *testing.T) {
+	service := fleet.Service{Name: playService}
+	var targets []fleet.Target
+	for i := range 6 {
+		targets = append(targets, fleet.Target{ID: fmt.Sprint(i), Service: playService, Slots: 10000})
+	}
+	for _, entries := range []int{1, 4} {
+		repeats, requests := 0, 0
+		for _, st := range sharedStates(entries, service, targets...) {
+			at := time.Unix(60, 0)
+			for i := range 300 {
+				at = at.Add(30 * time.Millisecond)
+				id := RequestID(i + 1)
+				requests++
+				effects := st.Reduce(at, Submit{Request: Request{ID: id, Service: playService, MaxAttempts: 3}})
+				for len(effects) > 0 {
+					if _, ok := effects[0].(Dispatch); !ok {
+						break
+					}
+					effects = st.Reduce(at, Retry{ID: id, Ran: true})
+					if len(effects) > 0 {
+						if _, again := effects[0].(Dispatch); again {
+							repeats++
+						}
+					}
+				}
+			}
+		}
+		allowed := 0.2*float64(requests) + 92
+		qt.Assert(t, float64(repeats) <= allowed, qt.IsTrue, qt.Commentf("%d repeats, %.0f allowed", repeats, allowed))
+	}
+}
+
+// Requests of one priority wait in turns by organisation, so that a large one does
+// not keep a small one out; a lower number goes first.
+func TestQueueOrder(t *testing.T) {
+	c := qt.New(t)
+	var q queue
+	for i, row := range []struct {
+		organisation string
+		priority     int
+	}{{"large", 1}, {"large", 1}, {"large", 1}, {"small", 1}, {"urgent", 0}} {
+		q.push(&entry{request: Request{ID: RequestID(i + 1), Organisation: row.organisation, Priority: row.priority}})
+	}
+	c.Assert(q.ahead(0), qt.Equals, 1)
+	c.Assert(q.ahead(1), qt.Equals, 5)
+	var order []RequestID
+	for q.length > 0 {
+		order = append(order, q.take(func(*entry) bool { return true }).request.ID)
+	}
+	c.Assert(order, qt.DeepEquals, []RequestID{5, 1, 4, 2, 3})
+}
