Let an instance start while the store is away, and see failed flushes

Change: such an instance introduces itself to its seeds, whose answers bring the configuration, the targets and the other instances. Lines of the HTTP server are events now, and an instance that has just registered is not called silent.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -324,7 +324,8 @@
 		if !follows(a.lastEvent, id) {
 			return a.again(ctx, admission.Broken, true, errors.New("event "+id+" does not follow "+a.lastEvent))
 		}
-		if _, err := a.writer.Write(event); err == nil {
+		_, err = a.writer.Write(event)
+		if err == nil {
 			err = controller.Flush()
 		}
 		if err != nil {
--- a/router/caller/options.go
+++ b/router/caller/options.go
@@ -30,6 +30,8 @@
 	// Operators is where metrics and profiles are served.
 	Operators netip.AddrPort `json:"operators"`
 	Store     netip.AddrPort `json:"store"`
+	// Seeds are other instances' peer addresses, to ask while the store is away.
+	Seeds []netip.AddrPort `json:"seeds,omitempty"`
 	// SidecarPort is where sidecars listen beside their targets.
 	SidecarPort uint16 `json:"sidecarPort"`
 	// RetryRatio and RetrySlack bound repeated requests over all instances: a part
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -1,10 +1,12 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -63,6 +65,9 @@
 	store    *platform.Store
 	self     fleet.Instance
 	stopping atomic.Bool
+	// hard ends all work at once; kill ends it.
+	hard context.Context
+	kill context.CancelFunc
 }
 
 // Run serves until the context ends, and then until the last request has ended or
@@ -88,7 +93,8 @@
 		},
 	}
 	r.current.Store(&options)
-	r.entries = entries.NewSet(r.self, r.core, logger)
+	r.hard, r.kill = context.WithCancel(context.Background())
+	r.entries = entries.NewSet(r.hard, r.self, r.core, logger)
 	return r
 }
 
@@ -110,7 +116,7 @@
 // Serve answers callers until the context ends, then stops without cutting off
 // requests.
 func (r *Router) Serve(ctx context.Context) error {
-	hard, kill := context.WithCancel(context.Background())
+	hard, kill := r.hard, r.kill
 	defer kill()
 	operators := settings.NewOperators(func(context.Context) string { return r.unready() })
 	r.metrics = newMetrics(operators.Scope)
@@ -140,7 +146,7 @@
 func (r *Router) follow(hard, soft context.Context, group *sync.WaitGroup) {
 	follower := &store.Follower{
 		Store: r.store, Sink: r.core, Logger: r.logger,
-		Entries: func(records []fleet.Record) { r.register(hard, records) },
+		Entries: r.register,
 		Changed: r.entries.Wake, Reads: r.entries.Reads,
 	}
 	duty := &planner.Duty{Instance: r.options.Instance, Store: r.store, Leads: r.entries.Leads, Logger: r.logger}
@@ -148,6 +154,9 @@
 	work := &planner.Planner{View: r.core.View, SidecarPort: r.options.SidecarPort, Logger: r.logger, Duty: duty, Fenced: r.options.Fencing, Closed: r.entries.SetClosed}
 	group.Go(func() { follower.Run(hard) })
 	group.Go(func() { r.entries.Watch(hard) })
+	group.Go(func() {
+		r.entries.Greet(hard, r.options.Seeds, func() bool { return r.core.View().Configuration != nil })
+	})
 	group.Go(func() { duty.Run(soft, work.Run) })
 	group.Go(func() { r.announce(hard, false) })
 	group.Go(func() { r.tick(hard) })
@@ -155,14 +164,14 @@
 }
 
 // register takes registrations of entry instances.
-func (r *Router) register(ctx context.Context, records []fleet.Record) {
+func (r *Router) register(records []fleet.Record) {
 	for _, record := range records {
 		var i fleet.Instance
 		if err := json.Unmarshal(record.Value, &i); err != nil {
 			events.Log(r.logger, events.RecordUnreadable, log.Fields{"topic": record.Topic.String(), "key": record.Key, "error": err.Error()})
 			continue
 		}
-		r.entries.Register(ctx, i)
+		r.entries.Register(i)
 	}
 }
 
@@ -256,10 +265,18 @@
 	return r.stop(servers[0].server)
 }
 
+// serverLog turns lines of the HTTP server into events.
+type serverLog struct{ logger log.Interface }
+
+func (l serverLog) Write(line []byte) (int, error) {
+	events.Log(l.logger, events.RequestFailed, log.Fields{"error": string(bytes.TrimSpace(line))})
+	return len(line), nil
+}
+
 func (r *Router) server(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdle,
-		ReadHeaderTimeout: settings.HeaderTimeout,
+		ReadHeaderTimeout: settings.HeaderTimeout, ErrorLog: stdlog.New(serverLog{r.logger}, "", 0),
 	}
 }
 
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -38,6 +38,7 @@
 	ended    []chan error
 	replicas map[string]*platformtest.Replica
 	client   *http.Client
+	seeds    []netip.AddrPort
 }
 
 func testRoutes(service string) []platformtest.Route {
@@ -82,7 +83,7 @@
 	o := Options{
 		File: filepath.Join(t.TempDir(), "none.json"), Instance: "entry-" + string(rune('a'+len(d.routers))), DataCentre: "dc-a",
 		Callers: freeAddress(d.C), Readiness: freeAddress(d.C), Resolution: freeAddress(d.C),
-		Peers: freeAddress(d.C), Operators: freeAddress(d.C), Store: d.storeAt, SidecarPort: 1,
+		Peers: freeAddress(d.C), Operators: freeAddress(d.C), Store: d.storeAt, SidecarPort: 1, Seeds: d.seeds,
 		RetryRatio: 0.2, RetrySlack: 90,
 		GracePeriod: settings.Duration(time.Second), AddressKeep: settings.Duration(time.Second),
 	}
@@ -477,6 +478,17 @@
 	d.eventually("the second one knows", func() bool { return second.core.View().Configuration.Version == 3 })
 }
 
+// An instance that starts while the store is away learns from a seed.
+func TestStartWhileStoreIsAway(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": echo})
+	d.store.Set(platformtest.Down)
+	d.seeds = []netip.AddrPort{d.routers[0].options.Peers}
+	second := d.start(t)
+	d.eventually("the new instance is ready", func() bool { return platformtest.Ready(second.options.Readiness) })
+	d.Assert(second.core.View().Targets["svc"], qt.HasLen, 1)
+	d.eventually("it is named to callers", func() bool { return len(d.routers[0].entries.Callers()) == 2 })
+}
+
 // Stopping cuts off no request in flight, and ends within the grace period.
 func TestStopFinishesWhatRuns(t *testing.T) {
 	release := make(chan struct{})
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -233,10 +233,7 @@
 	for _, r := range news {
 		if c.takeOne(now, r, source) {
 			changed = true
-			if c.changed[r.Topic] == nil {
-				c.changed[r.Topic] = make(map[string]int64)
-			}
-			c.changed[r.Topic][r.Key] = r.Offset
+			c.noteChange(r)
 		}
 	}
 	if changed {
@@ -245,6 +242,14 @@
 	return changed
 }
 
+// noteChange remembers that peers should hear of a record.
+func (c *Core) noteChange(r fleet.Record) {
+	if c.changed[r.Topic] == nil {
+		c.changed[r.Topic] = make(map[string]int64)
+	}
+	c.changed[r.Topic][r.Key] = r.Offset
+}
+
 func (c *Core) takeOne(now time.Time, r fleet.Record, source string) bool {
 	if r.Topic == fleet.OperatorTopic {
 		return c.takeOperator(r, source)
@@ -273,7 +278,9 @@
 	}
 	c.configuration = configuration
 	for _, r := range c.directory.Keys(fleet.TargetTopic) { // Services may be known only now.
-		c.takeTarget(time.Now(), r, source)
+		if c.takeTarget(time.Now(), r, source) {
+			c.noteChange(r)
+		}
 	}
 	events.Log(c.options.Logger, events.ConfigurationTaken, log.Fields{
 		"version": configuration.Version, "offset": r.Offset, "source": source,
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/netip"
 	"slices"
 	"sync"
@@ -43,9 +44,13 @@
 
 // Set is the entry instances that are known.
 type Set struct {
-	self   fleet.Instance
-	core   Core
-	logger log.Interface
+	// ctx ends the links to all instances.
+	ctx  context.Context
+	self fleet.Instance
+	// registration is this instance's own, encoded.
+	registration []byte
+	core         Core
+	logger       log.Interface
 	// Duty gives the fencing token that this instance holds, or 0.
 	Duty func() uint64
 
@@ -53,7 +58,6 @@
 	stopping bool
 	closed   []string
 	others   map[string]*other
-	seeds    []netip.AddrPort
 }
 
 // other is one other instance.
@@ -68,13 +72,20 @@
 	wake     chan struct{}
 }
 
-// NewSet gives the set of an instance that knows no other.
-func NewSet(self fleet.Instance, core Core, logger log.Interface) *Set {
-	return &Set{self: self, core: core, logger: logger, others: make(map[string]*other), Duty: func() uint64 { return 0 }}
+// NewSet gives the set of an instance that knows no other. The context ends its links.
+func NewSet(ctx context.Context, self fleet.Instance, core Core, logger log.Interface) *Set {
+	registration, err := json.Marshal(self)
+	if err != nil {
+		registration = nil // A struct of texts and numbers always encodes.
+	}
+	return &Set{
+		ctx: ctx, self: self, registration: registration, core: core, logger: logger,
+		others: make(map[string]*other), Duty: func() uint64 { return 0 },
+	}
 }
 
 // Register takes an instance's registration and begins to tell it news.
-func (s *Set) Register(ctx context.Context, i fleet.Instance) {
+func (s *Set) Register(i fleet.Instance) {
 	if i.Name == s.self.Name {
 		return
 	}
@@ -88,7 +99,7 @@
 	if ok {
 		o.cancel()
 	}
-	link, cancel := context.WithCancel(ctx)
+	link, cancel := context.WithCancel(s.ctx)
 	o = &other{
 		instance: i, seen: time.Now(), stopping: i.Stopping, cancel: cancel,
 		ends: make(map[fleet.Topic]int64), wake: make(chan struct{}, 1),
@@ -175,7 +186,7 @@
 	m := &peer.EntryNews{
 		Instance: s.self.Name, Incarnation: s.self.Incarnation, Stopping: stopping, Duty: s.Duty(),
 		OperatorEnd: s.core.End(fleet.OperatorTopic), TargetEnd: s.core.End(fleet.TargetTopic),
-		Running: make(map[string]int32), Closed: closed,
+		Running: make(map[string]int32), Closed: closed, Registration: s.registration,
 	}
 	for target, running := range s.core.Running() {
 		m.Running[target] = int32(running)
@@ -203,7 +214,59 @@
 	}
 }
 
+// introduce registers an instance that the store has not told of.
+func (s *Set) introduce(m *peer.EntryNews) {
+	s.mutex.Lock()
+	o, known := s.others[m.GetInstance()]
+	known = known && o.instance.Incarnation >= m.GetIncarnation()
+	s.mutex.Unlock()
+	if known || len(m.GetRegistration()) == 0 {
+		return
+	}
+	var i fleet.Instance
+	if err := json.Unmarshal(m.GetRegistration(), &i); err != nil {
+		events.Log(s.logger, events.RecordUnreadable, log.Fields{"entry": m.GetInstance(), "error": err.Error()})
+		return
+	}
+	s.Register(i)
+}
+
+// Greet introduces this instance to seeds, whose answers bring what they know, until
+// it is known here or the context ends. It is of use while the store is away.
+func (s *Set) Greet(ctx context.Context, seeds []netip.AddrPort, known func() bool) {
+	for ctx.Err() == nil && !known() {
+		for _, seed := range seeds {
+			if seed != s.self.Peers {
+				s.greetOne(ctx, seed)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redial):
+		}
+	}
+}
+
+func (s *Set) greetOne(ctx context.Context, seed netip.AddrPort) {
+	link, err := peer.Dial(ctx, seed, nil)
+	if err != nil {
+		return // A seed may be stale; another one answers, or the store.
+	}
+	defer link.Close()
+	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Entry{Entry: s.news(&other{})}})
+	if err != nil {
+		return
+	}
+	defer stream.Close()
+	select { // Closing at once could overtake the message.
+	case <-ctx.Done():
+	case <-time.After(newsInterval):
+	}
+}
+
+// hear takes the news of one instance.
 func (s *Set) hear(m *peer.EntryNews) {
+	s.introduce(m)
 	s.mutex.Lock()
 	o, ok := s.others[m.GetInstance()]
 	if ok && o.instance.Incarnation == m.GetIncarnation() {
@@ -255,7 +318,7 @@
 			if now.Sub(o.seen) < forget && !o.stopping {
 				count++
 			}
-			quiet := now.Sub(o.heard) > silence
+			quiet := now.Sub(o.seen) > silence
 			if quiet && !silent[name] {
 				lost = append(lost, name)
 			}
--- a/shared/ranks/world_test.go
+++ b/shared/ranks/world_test.go
@@ -43,7 +43,6 @@
 	armed, armedStep  uint64
 	held              bool
 	heldStep          uint64
-	down              int
 	incarnation       uint64
 }
 
