--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -364,6 +364,9 @@
 	began := time.Now()
 	d.eventually("the target's connection is closed", func() bool { _, gone := d.replicas["i-1"].Conns(); return gone == 1 })
 	d.Assert(time.Since(began) < 500*time.Millisecond, qt.IsTrue)
+	// Bytes that are still on their way are taken back by a reset only: a machine that
+	// wakes up later must not get the request.
+	d.Assert(d.replicas["i-1"].Resets(), qt.Equals, 1)
 }
 
 func TestConnectionsAreKept(t *testing.T) {
