--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -13,7 +13,7 @@
 	// groupPause is how long nothing is sent to a group after one of its ranks
 	// said that it waits for another.
 	groupPause = 400 * time.Millisecond
-	// rateHalfLife smooths the time between dispatches from a full service.
+	// rateWeight smooths the time between two ends while requests wait.
 	rateWeight = 0.1
 	// startInterval is the time between two finished requests that is assumed
 	// before any was measured.
