Tidy the play of admission

Cause: reading the whole diff once more: a variable that nothing read, a factor of zero, and two comments that named fields which are not there. Change: test code only; every assertion and bound is as it was. Measured: the tests of admission, ranks and fleet pass; lint is clean.

--- a/shared/admission/play_test.go
+++ b/shared/admission/play_test.go
@@ -22,7 +22,7 @@
 	// retries tells whether refused callers come back once.
 	retries bool
 	length  time.Duration
-	// cap replaces the reducer's own limit if it is set.
+	// unlimited takes the reducer's limit away.
 	unlimited bool
 
 	state   *State
@@ -57,7 +57,7 @@
 // playResult is what callers got.
 type playResult struct {
 	asked, onTime, late, refused, abandoned int
-	// byOrganisation counts served requests.
+	// worstGap is the longest pause between two events.
 	worstGap time.Duration
 	// longestRefusal is the longest wait before a refusal.
 	longestRefusal time.Duration
@@ -131,7 +131,7 @@
 func (p *play) refused(d Refuse) {
 	s := p.streams[d.ID]
 	delete(p.streams, d.ID)
-	p.result.longestRefusal = max(p.result.longestRefusal, d.Expected*0, p.now.Sub(s.last))
+	p.result.longestRefusal = max(p.result.longestRefusal, p.now.Sub(s.last))
 	if p.retries && !s.again {
 		p.back = append(p.back, playedReturn{at: p.now.Add(d.RetryAfter), asked: s.asked, size: s.size})
 		return
@@ -176,7 +176,7 @@
 // arrive lets callers ask within a pass.
 func (p *play) arrive(d time.Duration) {
 	const slice = 10 * time.Millisecond
-	for begin := p.now; d > 0; d -= slice {
+	for ; d > 0; d -= slice {
 		for _, r := range p.back {
 			if !r.at.After(p.now) {
 				p.ask(r.asked, true, r.size)
@@ -197,7 +197,6 @@
 		}
 		p.do(Tick{})
 		p.now = p.now.Add(min(d, slice))
-		_ = begin
 	}
 }
 
