Give slow ranks of a group no requests where that serves more

Every pass waits for the slowest rank's own work; the limit took long passes for a sign of many requests and fell to 1 or 2 a rank, and the slow rank still got its share and kept its experts.

Change: the planner tells all instances which ranks are slow; admission leaves a rank out if the others serve more without it, and does not take its delay for the load's; slow ranks give up copies that others hold, and their single copies become candidates for moving.

Left: streams that run on a rank as it turns slow hold the group up until they end.

--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -152,7 +152,7 @@
 	}
 	duty := &planner.Duty{Instance: r.options.Instance, Store: r.store, Leads: r.entries.Leads, Logger: r.logger}
 	r.entries.Duty = duty.Token
-	work := &planner.Planner{View: r.core.View, SidecarPort: r.options.SidecarPort, Logger: r.logger, Duty: duty, Fenced: r.options.Fencing, Closed: r.entries.SetClosed}
+	work := &planner.Planner{View: r.core.View, SidecarPort: r.options.SidecarPort, Logger: r.logger, Duty: duty, Fenced: r.options.Fencing, Groups: r.entries.SetGroups}
 	group.Go(func() { follower.Run(hard) })
 	group.Go(func() { r.entries.Watch(hard) })
 	group.Go(func() {
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -56,7 +56,7 @@
 
 	mutex    sync.Mutex
 	stopping bool
-	closed   []string
+	groups   admission.Groups // What this instance knows as the planner.
 	others   map[string]*other
 }
 
@@ -117,12 +117,13 @@
 	s.Wake()
 }
 
-// SetClosed tells all instances which services' groups wait for a rank.
-func (s *Set) SetClosed(services []string) {
+// SetGroups tells all instances how the groups of ranks do.
+func (s *Set) SetGroups(groups admission.Groups) {
+	groups.Instance = s.self.Name
 	s.mutex.Lock()
-	s.closed = services
+	s.groups = groups
 	s.mutex.Unlock()
-	s.core.Tell(admission.GroupsClosed{Instance: s.self.Name, Services: services})
+	s.core.Tell(groups)
 	s.Wake()
 }
 
@@ -181,12 +182,12 @@
 func (s *Set) news(o *other) *peer.EntryNews {
 	s.mutex.Lock()
 	operatorEnd, targetEnd, heard := o.ends[fleet.OperatorTopic], o.ends[fleet.TargetTopic], !o.heard.IsZero()
-	stopping, closed := s.stopping, s.closed
+	stopping, groups := s.stopping, s.groups
 	s.mutex.Unlock()
 	m := &peer.EntryNews{
 		Instance: s.self.Name, Incarnation: s.self.Incarnation, Stopping: stopping, Duty: s.Duty(),
 		OperatorEnd: s.core.End(fleet.OperatorTopic), TargetEnd: s.core.End(fleet.TargetTopic),
-		Running: make(map[string]int32), Closed: closed, Registration: s.registration,
+		Running: make(map[string]int32), Closed: groups.Closed, Paces: groups.Paces, Registration: s.registration,
 	}
 	for target, running := range s.core.Running() {
 		m.Running[target] = int32(running)
@@ -296,7 +297,7 @@
 	for target, count := range m.GetRunning() {
 		running[target] = int(count)
 	}
-	s.core.Tell(admission.GroupsClosed{Instance: m.GetInstance(), Services: m.GetClosed()})
+	s.core.Tell(admission.Groups{Instance: m.GetInstance(), Closed: m.GetClosed(), Paces: m.GetPaces()})
 	s.core.Tell(admission.PeerLoad{Peer: m.GetInstance(), Running: running})
 }
 
--- a/router/planner/group.go
+++ b/router/planner/group.go
@@ -186,7 +186,7 @@
 		g.experts[report.Rank] = rankExperts{epoch: report.Epoch, version: m.GetMap(), bySet: peer.ExpertLists(m.GetExperts())}
 	}
 	g.latest[report.Rank] = report
-	g.planner.setClosed(g.name, g.closed())
+	g.planner.setState(g.name, g.state())
 	return g.switcher.Reduce(now, ranks.Reported{Report: report})
 }
 
@@ -320,15 +320,24 @@
 	return paces
 }
 
-// closed reports whether the group waits for a rank.
-func (g *group) closed() bool {
-	open := true
+// state is what admission needs to know of the group.
+func (g *group) state() groupState {
+	state := groupState{paces: make(map[string]float64)}
 	for _, r := range g.latest {
 		if r.Epoch == g.switcher.Epoch() {
-			open = open && r.Open
+			state.closed = state.closed || !r.Open
 		}
 	}
-	return !open
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, t := range g.wanted {
+		state.service = t.Service
+		// Steps of a quarter keep small changes from being told to everyone.
+		if pace := math.Round(g.latest[t.Rank].Pace*4) / 4; pace > 1 {
+			state.paces[t.ID] = pace
+		}
+	}
+	return state
 }
 
 // obey carries out what the switcher decided.
--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"chervilswitch.example/shared/admission"
+	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
 
 	"github.com/apex/log"
@@ -24,31 +28,43 @@
 	Duty        *Duty
 	// Fenced tells that engines refuse orders with old fencing tokens.
 	Fenced bool
-	// Closed is called with the services whose group waits for a rank, whenever
-	// they change.
-	Closed func(services []string)
+	// Groups is called whenever it changes how the groups do.
+	Groups func(admission.Groups)
 
-	mutex  sync.Mutex
-	closed map[string]bool // By group.
+	mutex sync.Mutex
+	// By group, and what was told of them.
+	states map[string]groupState
+	told   admission.Groups
 }
 
-// setClosed notes whether a group waits for a rank.
-func (p *Planner) setClosed(group string, closed bool) {
+// groupState is what admission needs to know of a group.
+type groupState struct {
+	service string
+	// closed tells that the group waits for a rank.
+	closed bool
+	paces  map[string]float64
+}
+
+// setState notes how a group does.
+func (p *Planner) setState(group string, state groupState) {
 	p.mutex.Lock()
-	changed := p.closed[group] != closed
-	if p.closed == nil {
-		p.closed = make(map[string]bool)
+	if p.states == nil {
+		p.states = make(map[string]groupState)
 	}
-	p.closed[group] = closed
-	var services []string
-	for name, isClosed := range p.closed {
-		if members := p.View().Members[name]; isClosed && len(members) > 0 {
-			services = append(services, members[0].Service)
+	p.states[group] = state
+	groups := admission.Groups{Paces: make(map[string]float64)}
+	for _, name := range slices.Sorted(maps.Keys(p.states)) {
+		if p.states[name].closed {
+			groups.Closed = append(groups.Closed, p.states[name].service)
 		}
+		maps.Copy(groups.Paces, p.states[name].paces)
 	}
+	changed := !slices.Equal(groups.Closed, p.told.Closed) || !maps.Equal(groups.Paces, p.told.Paces)
+	p.told = groups
 	p.mutex.Unlock()
 	if changed {
-		p.Closed(services)
+		events.Log(p.Logger, events.GroupsChanged, log.Fields{"group": group, "closed": groups.Closed, "paces": groups.Paces})
+		p.Groups(groups)
 	}
 }
 
@@ -58,9 +74,9 @@
 	ended := make(chan struct{})
 	defer func() {
 		p.mutex.Lock()
-		p.closed = nil
+		p.states, p.told = nil, admission.Groups{}
 		p.mutex.Unlock()
-		p.Closed(nil)
+		p.Groups(admission.Groups{})
 	}()
 	count := 0
 	for ctx.Err() == nil {
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -103,11 +103,14 @@
 // PeerLost forgets what another entry had running.
 type PeerLost struct{ Peer string }
 
-// GroupsClosed tells which services' groups of ranks wait for a rank, as an entry
-// instance knows it.
-type GroupsClosed struct {
+// Groups tells how groups of ranks do, as an entry instance knows it.
+type Groups struct {
 	Instance string
-	Services []string
+	// Closed lists the services whose groups wait for a rank.
+	Closed []string
+	// Paces is how many times slower than usual ranks are, by target; those at
+	// their usual speed are left out.
+	Paces map[string]float64
 }
 
 // BudgetChanged sets the bound of repeated requests.
@@ -124,7 +127,7 @@
 func (Fleet) event()         {}
 func (PeerLoad) event()      {}
 func (PeerLost) event()      {}
-func (GroupsClosed) event()  {}
+func (Groups) event()        {}
 func (BudgetChanged) event() {}
 func (Tick) event()          {}
 
--- a/shared/admission/limit.go
+++ b/shared/admission/limit.go
@@ -29,6 +29,10 @@
 	stretch float64
 	gap     time.Duration
 	at      time.Time
+	// paces lists how many times slower than usual the ranks are, fastest first.
+	paces []float64
+	// used is the pace of the slowest rank that is given requests.
+	used float64
 }
 
 // modelled is the pass of a rank with a number of requests, without the experts'
@@ -39,9 +43,19 @@
 	return time.Duration(step * float64(e.Stride))
 }
 
-// measure takes a pause between two events while ranks had so many requests each.
-func (p *passModel) measure(at time.Time, e *fleet.Engine, gap time.Duration, running float64) {
-	seen := min(maxStretch, float64(gap)/float64(modelled(e, running)))
+// delay is what a slow rank with requests of its own adds to every pass.
+func delay(e *fleet.Engine, pace float64) float64 {
+	return max(0, pace-1) * float64(modelled(e, 0))
+}
+
+// measure takes a pause between two events while ranks had so many requests each,
+// and the slowest of those that had any was at a pace.
+func (p *passModel) measure(at time.Time, e *fleet.Engine, gap time.Duration, running, pace float64) {
+	seen := float64(gap) / float64(modelled(e, running))
+	if slow := delay(e, pace); slow > 0 {
+		seen = max(1, (float64(gap)-slow)/float64(modelled(e, running)))
+	}
+	seen = min(maxStretch, seen)
 	if p.stretch == 0 {
 		p.stretch, p.gap, p.at = seen, gap, at
 		return
@@ -53,20 +67,43 @@
 	p.at = at
 }
 
-// limit is how many requests a rank may run so that events come in time.
-func (p *passModel) limit(e *fleet.Engine, maxGap time.Duration) int {
-	if maxGap <= 0 {
-		return e.Slots
+// plan chooses which ranks are given requests, by their pace, and how many each of
+// them may run so that events come in time. A pass does not wait for a slow rank
+// that has no requests: leaving it out serves more if the others have room.
+func (p *passModel) plan(e *fleet.Engine, maxGap time.Duration) int {
+	best, bestRate := e.Slots, 0.0
+	p.used = 1
+	for i, pace := range p.paces {
+		if i+1 < len(p.paces) && p.paces[i+1] == pace {
+			continue
+		}
+		limit := p.limit(e, maxGap, pace)
+		if rate := float64((i+1)*limit) / p.pass(e, float64(limit), pace); rate > bestRate {
+			best, bestRate, p.used = limit, rate, pace
+		}
 	}
-	stretch := p.stretch
-	if stretch == 0 {
-		stretch = startStretch
-	}
-	budget := gapShare * float64(maxGap) / stretch
+	return best
+}
+
+// limit is how many requests a rank may run if none is slower than a pace.
+func (p *passModel) limit(e *fleet.Engine, maxGap time.Duration, pace float64) int {
 	base := float64(modelled(e, 0))
 	perRequest := float64(modelled(e, 1)) - base
-	if perRequest <= 0 {
+	if maxGap <= 0 || perRequest <= 0 {
 		return e.Slots
 	}
+	budget := (gapShare*float64(maxGap) - delay(e, pace)) / p.factor()
 	return min(e.Slots, max(1, int((budget-base)/perRequest)))
 }
+
+// pass is how long a pass takes with a number of requests on each rank that is used.
+func (p *passModel) pass(e *fleet.Engine, running, pace float64) float64 {
+	return delay(e, pace) + p.factor()*float64(modelled(e, running))
+}
+
+func (p *passModel) factor() float64 {
+	if p.stretch == 0 {
+		return startStretch
+	}
+	return p.stretch
+}
--- a/shared/admission/load_test.go
+++ b/shared/admission/load_test.go
@@ -70,3 +70,51 @@
 	c.Assert(share(r.onTime, r.asked) > 0.8, qt.IsTrue)
 	c.Assert(r.abandoned, qt.Equals, 0)
 }
+
+// slowFrom is a pace of the first ranks between two times.
+func slowFrom(ranks int, pace float64, from, to time.Duration) func(int, time.Duration) float64 {
+	return func(rank int, at time.Duration) float64 {
+		if rank < ranks && at >= from && at < to {
+			return pace
+		}
+		return 1
+	}
+}
+
+// The load of one slow rank, whose own work every pass of its group waits for. It
+// gets little work, the others as much as can be on time: callers get far more than
+// from a limit that takes long passes for a sign of many requests.
+func TestSlowRank(t *testing.T) {
+	load := func(untold bool) func() play {
+		return func() play {
+			return play{
+				ranks: 12, perSecond: steady(45), stretch: steady(1.4), length: 30 * time.Second, retries: true,
+				pace: slowFrom(1, 4, 5*time.Second, 25*time.Second), untold: untold,
+			}
+		}
+	}
+	c := qt.New(t)
+	told, untold := plays(load(false)), plays(load(true))
+	c.Logf("told: %s\nuntold: %s", told, untold)
+	c.Assert(told.onTime > untold.onTime*5/4, qt.IsTrue)
+	c.Assert(told.refused < untold.refused, qt.IsTrue)
+}
+
+// The load of many very slow ranks: the others serve what they can, and requests are
+// refused as early as ever.
+func TestManyVerySlowRanks(t *testing.T) {
+	load := func(untold bool) func() play {
+		return func() play {
+			return play{
+				ranks: 12, perSecond: steady(45), stretch: steady(1.4), length: 30 * time.Second, retries: true,
+				pace: slowFrom(5, 12, 5*time.Second, 14*time.Second), untold: untold,
+			}
+		}
+	}
+	c := qt.New(t)
+	told, untold := plays(load(false)), plays(load(true))
+	c.Logf("told: %s\nuntold: %s", told, untold)
+	c.Assert(told.worth() > untold.worth(), qt.IsTrue)
+	c.Assert(told.refused < untold.refused, qt.IsTrue)
+	c.Assert(told.longestRefusal < playObjective, qt.IsTrue)
+}
--- a/shared/admission/play_test.go
+++ b/shared/admission/play_test.go
@@ -19,9 +19,13 @@
 	perSecond func(at time.Duration) float64
 	// stretch is how much longer passes are than modelled at a time from the start.
 	stretch func(at time.Duration) float64
+	// pace is how many times slower than usual a rank is; nil means none is.
+	pace func(rank int, at time.Duration) float64
 	// retries tells whether refused callers come back once.
 	retries bool
 	length  time.Duration
+	// untold keeps from the reducer which ranks are slow.
+	untold bool
 	// unlimited takes the reducer's limit away.
 	unlimited bool
 
@@ -79,6 +83,7 @@
 	playObjective = 500 * time.Millisecond
 	playGap       = 120 * time.Millisecond
 	playPatience  = 2 * time.Second
+	playPaceAge   = 500 * time.Millisecond
 	playService   = "model"
 )
 
@@ -109,11 +114,26 @@
 	}
 	p.do(Fleet{Service: service, Targets: targets, Entries: 1})
 	for p.now.Sub(p.start) < p.length {
+		p.tellPaces()
 		p.pass()
 	}
 	return p.result
 }
 
+// tellPaces tells the reducer of the slow ranks, as the planner does.
+func (p *play) tellPaces() {
+	if p.pace == nil || p.untold {
+		return
+	}
+	paces := make(map[string]float64)
+	for rank := range p.ranks {
+		if pace := p.pace(rank, p.now.Sub(p.start)-playPaceAge); pace > 1 {
+			paces[fmt.Sprintf("r%02d", rank)] = pace
+		}
+	}
+	p.do(Groups{Instance: "planner", Paces: paces})
+}
+
 func (p *play) do(e Event) {
 	for _, effect := range p.state.Reduce(p.now, e) {
 		switch d := effect.(type) {
@@ -166,6 +186,9 @@
 		d += time.Duration(reading[rank] / p.engine.ReadRate * float64(time.Second))
 		longest = max(longest, d)
 	}
+	if p.pace != nil {
+		longest = max(longest, p.slowPass(at, running, reading))
+	}
 	end := p.now.Add(longest)
 	p.arrive(longest)
 	p.now = end
@@ -173,6 +196,23 @@
 	p.do(Tick{})
 }
 
+// slowPass is a pass of a group in which ranks are slow: the slowest rank's own part,
+// and the experts', whose map is taken to fit the ranks' speeds.
+func (p *play) slowPass(at time.Duration, running []int, reading []float64) time.Duration {
+	const expertShare = 0.85
+	base := float64(modelled(&p.engine, 0))
+	own, work := 0.0, 0.0
+	for rank := range running {
+		if running[rank] == 0 && reading[rank] == 0 {
+			continue // It holds none of the others up.
+		}
+		w := float64(modelled(&p.engine, float64(running[rank]))) - base + reading[rank]/p.engine.ReadRate*float64(time.Second)
+		own = max(own, p.pace(rank, at)*(base+(1-expertShare)*w))
+		work += w
+	}
+	return time.Duration(own + expertShare*p.stretch(at)*work/float64(p.ranks))
+}
+
 // arrive lets callers ask within a pass.
 func (p *play) arrive(d time.Duration) {
 	const slice = 10 * time.Millisecond
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -77,24 +77,60 @@
 	return p
 }
 
-// limit is how much a target may have from all entry instances.
-func (s *service) limit(t *target) int {
-	if s.Engine != nil {
-		return s.pass(t.Group).limit(s.Engine, s.maxGap)
+// limits gives how much each target may have from all entry instances.
+func (s *service) limits() func(*target) int {
+	if s.Engine == nil {
+		return func(t *target) int { return t.Slots * plainDepth }
+	}
+	groups := make(map[string]int, len(s.passes))
+	return func(t *target) int {
+		p := s.pass(t.Group)
+		limit, ok := groups[t.Group]
+		if !ok {
+			limit = p.plan(s.Engine, s.maxGap)
+			groups[t.Group] = limit
+		}
+		if t.pace > p.used {
+			return 0
+		}
+		return limit
+	}
+}
+
+// setPaces notes how slow the targets are.
+func (s *service) setPaces(pace func(target string) float64) {
+	for _, p := range s.passes {
+		p.paces = p.paces[:0]
+	}
+	for _, id := range s.order {
+		t := s.targets[id]
+		t.pace = pace(id)
+		p := s.pass(t.Group)
+		p.paces = append(p.paces, t.pace)
+	}
+	for _, p := range s.passes {
+		slices.Sort(p.paces)
 	}
-	return t.Slots * plainDepth
 }
 
-// meanRunning is the requests that a target of a group has, by what is known.
-func (s *service) meanRunning(group string, loads loads) float64 {
-	sum, count := 0, 0
+// groupLoad is the mean number of requests of a group's targets that are used, and
+// the pace of the slowest that has any, by what is known.
+func (s *service) groupLoad(group string, loads loads) (running, pace float64) {
+	sum, count, used := 0, 0, s.pass(group).used
 	for _, t := range s.targets {
-		if t.Group == group {
-			sum += t.running + loads.of(t.ID)
+		if t.Group != group {
+			continue
+		}
+		n := t.running + loads.of(t.ID)
+		sum += n
+		if t.pace <= used || n > 0 {
 			count++
 		}
+		if n > 0 {
+			pace = max(pace, t.pace)
+		}
 	}
-	return float64(sum) / float64(max(1, count))
+	return float64(sum) / float64(max(1, count)), pace
 }
 
 // choose finds the target with the least work that a request may be sent to.
@@ -106,17 +142,13 @@
 	if e.ran+len(e.tried) > 0 {
 		extra = 1 // A retry has waited already.
 	}
-	limits := make(map[string]int, len(s.passes)+1)
+	limits := s.limits()
 	var best *target
 	bestScore, bestRunning := 0.0, 0
 	for i := range s.order {
 		t := s.targets[s.order[(i+s.turn)%len(s.order)]]
 		running := t.running + st.loads.of(t.ID)
-		limit, ok := limits[t.Group]
-		if !ok {
-			limit = s.limit(t) + extra
-			limits[t.Group] = limit
-		}
+		limit := limits(t) + extra
 		if running >= limit || at.Before(t.resting) || slices.Contains(e.tried, t.ID) || t.cold(at, s.ColdRate, st.entries) {
 			continue
 		}
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -44,8 +44,7 @@
 	services   map[string]*service
 	requests   map[RequestID]*entry
 	loads      loads
-	// closed lists the services whose groups wait for a rank, by who said so.
-	closed map[string][]string
+	groups     map[string]Groups // By who told.
 }
 
 // New gives a reducer for an instance of a data centre.
@@ -53,7 +52,7 @@
 	return &State{
 		dataCentre: dataCentre, budget: budget, entries: 1,
 		services: make(map[string]*service), requests: make(map[RequestID]*entry), loads: make(loads),
-		closed: make(map[string][]string),
+		groups: make(map[string]Groups),
 	}
 }
 
@@ -74,16 +73,19 @@
 		st.entries = max(1, e.Entries)
 		s := st.service(e.Service.Name)
 		s.update(e)
+		s.setPaces(st.pace)
 		return st.drain(at, s)
 	case PeerLoad:
 		st.loads[e.Peer] = e.Running
 		return st.drainAll(at)
-	case GroupsClosed:
-		st.closed[e.Instance] = e.Services
+	case Groups:
+		st.groups[e.Instance] = e
+		st.setPaces()
 		return st.drainAll(at)
 	case PeerLost:
 		delete(st.loads, e.Peer)
-		delete(st.closed, e.Peer)
+		delete(st.groups, e.Peer)
+		st.setPaces()
 		return st.drainAll(at)
 	case BudgetChanged:
 		st.budget = e.Budget
@@ -119,8 +121,9 @@
 	all := make(map[string]Summary, len(st.services))
 	for name, s := range st.services {
 		summary := Summary{Targets: len(s.targets), Waiting: s.waiting.length}
+		limits := s.limits()
 		for _, t := range s.targets {
-			summary.Limit = max(summary.Limit, s.limit(t))
+			summary.Limit = max(summary.Limit, limits(t))
 		}
 		for _, p := range s.passes {
 			summary.Gap = max(summary.Gap, p.gap)
@@ -169,14 +172,29 @@
 }
 
 func (st *State) isClosed(service string) bool {
-	for _, services := range st.closed {
-		if slices.Contains(services, service) {
+	for _, told := range st.groups {
+		if slices.Contains(told.Closed, service) {
 			return true
 		}
 	}
 	return false
 }
 
+func (st *State) setPaces() {
+	for _, s := range st.services {
+		s.setPaces(st.pace)
+	}
+}
+
+// pace is how many times slower than usual a target is, 1 if nobody told.
+func (st *State) pace(target string) float64 {
+	pace := 1.0
+	for _, told := range st.groups {
+		pace = max(pace, told.Paces[target])
+	}
+	return pace
+}
+
 // patience is how long a request may wait and still be on time; one that is late
 // already gets a short wait.
 func (s *service) patience(r Request) time.Duration {
@@ -207,7 +225,7 @@
 	st.requests[e.request.ID] = e
 	return Dispatch{
 		ID: e.request.ID, Target: t.Target, Attempt: e.attempts,
-		Waited: at.Sub(e.arrived), Running: running, Limit: s.limit(t),
+		Waited: at.Sub(e.arrived), Running: running, Limit: s.limits()(t),
 	}, true
 }
 
@@ -298,7 +316,8 @@
 func (st *State) paused(at time.Time, e Paused) []Effect {
 	s := st.service(e.Service)
 	if t, ok := s.targets[e.Target]; ok && s.Engine != nil {
-		s.pass(t.Group).measure(at, s.Engine, e.Gap, s.meanRunning(t.Group, st.loads))
+		running, pace := s.groupLoad(t.Group, st.loads)
+		s.pass(t.Group).measure(at, s.Engine, e.Gap, running, pace)
 	}
 	return nil
 }
--- a/shared/admission/target.go
+++ b/shared/admission/target.go
@@ -31,6 +31,7 @@
 type target struct {
 	fleet.Target
 	running int
+	pace    float64 // How many times slower than usual it is.
 	// failures is the smoothed share of attempts that failed.
 	failures float64
 	// first is the smoothed time to the first output.
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -47,6 +47,7 @@
 	SwitchPlanned      Event = 2205
 	SwitchEnded        Event = 2206
 	RankOrderEnded     Event = 2207
+	GroupsChanged      Event = 2208
 )
 
 // names gives each event's stable name.
@@ -90,6 +91,7 @@
 	SwitchPlanned:      "switchPlanned",
 	SwitchEnded:        "switchEnded",
 	RankOrderEnded:     "rankOrderEnded",
+	GroupsChanged:      "groupsChanged",
 }
 
 // All lists every event with its name.
--- a/shared/ranks/plan.go
+++ b/shared/ranks/plan.go
@@ -113,7 +113,7 @@
 	for set := range stale {
 		stale[set] = true
 	}
-	changed := false
+	changed := p.relieve(b)
 	for {
 		best := change{}
 		for set := range found {
@@ -138,9 +138,46 @@
 	if !changed {
 		return nil, 0
 	}
+	p.relieve(b)
 	return b.experts, 1 - b.cost()/before
 }
 
+// relieve takes copies off slow ranks where others hold the same experts. It copies
+// nothing; the places are filled again when the rank is back to its usual speed.
+func (p *Planner) relieve(b *board) (changed bool) {
+	for set, loads := range b.loads {
+		for rank := range loads {
+			if b.slowness(rank) == 1 {
+				continue
+			}
+			for drop := p.leastUse(b, set, rank); drop >= 0; drop = p.leastUse(b, set, rank) {
+				b.apply(change{set: set, rank: rank, add: -1, drop: drop, giver: -1})
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
+// leastUse is the expert of a rank whose copy costs most time, or -1 if every one
+// saves some.
+func (p *Planner) leastUse(b *board, set, rank int) int {
+	sum := 0.0
+	for _, load := range b.loads[set] {
+		sum += power(load)
+	}
+	found, least := -1, sum
+	for _, expert := range b.experts[set][rank] {
+		if b.copies[set][expert] < 2 {
+			continue
+		}
+		if after := b.powersAfter(sum, set, rank, -1, expert); after < least {
+			found, least = expert, after
+		}
+	}
+	return found
+}
+
 // allowed reports whether the ranks of a change may still copy an expert.
 func allowed(c change, budget []int) bool {
 	return c.gain == 0 || budget[c.rank] > 0 && (c.giver < 0 || budget[c.giver] > 0)
@@ -253,15 +290,20 @@
 	return best
 }
 
-// hottest lists the experts with the most work a copy.
+// hottest lists the experts whose copies take most time, by the slowest rank that
+// holds one.
 func (b *board) hottest(set int) []int {
 	order := make([]int, len(b.work[set]))
+	times := make([]float64, len(order))
 	for expert := range order {
-		order[expert] = expert
+		order[expert], times[expert] = expert, b.share(set, expert, 0)
 	}
-	slices.SortFunc(order, func(x, y int) int {
-		return cmp.Or(cmp.Compare(b.share(set, y, 0), b.share(set, x, 0)), x-y)
-	})
+	for rank, experts := range b.experts[set] {
+		for _, expert := range experts {
+			times[expert] = max(times[expert], b.share(set, expert, 0)*b.slowness(rank))
+		}
+	}
+	slices.SortFunc(order, func(x, y int) int { return cmp.Or(cmp.Compare(times[y], times[x]), x-y) })
 	return order[:min(candidates, len(order))]
 }
 
@@ -283,10 +325,14 @@
 	return spare[:min(2, len(spare))]
 }
 
-// powersAfter is the sum of the loads' powers after a change.
+// powersAfter is the sum of the loads' powers after a change; add or drop is -1 if
+// there is none.
 func (b *board) powersAfter(sum float64, set, rank, add, drop int) float64 {
 	loads := b.loads[set]
-	addBefore, addAfter := b.share(set, add, 0), b.share(set, add, 1)
+	var addBefore, addAfter float64
+	if add >= 0 {
+		addBefore, addAfter = b.share(set, add, 0), b.share(set, add, 1)
+	}
 	var dropBefore, dropAfter float64
 	if drop >= 0 {
 		dropBefore, dropAfter = b.share(set, drop, 0), b.share(set, drop, -1)
@@ -297,7 +343,7 @@
 		case r == rank:
 			delta = addAfter - dropBefore
 		default:
-			if slices.Contains(experts, add) {
+			if add >= 0 && slices.Contains(experts, add) {
 				delta += addAfter - addBefore
 			}
 			if drop >= 0 && slices.Contains(experts, drop) {
@@ -325,7 +371,8 @@
 	}
 }
 
-// replace puts an expert on a rank, in the place of another one or in a free one.
+// replace puts an expert on a rank, in the place of another one or in a free one;
+// add is -1 to leave the place free.
 func (b *board) replace(set, rank, drop, add int) {
 	held := b.experts[set][rank]
 	if drop >= 0 {
@@ -333,6 +380,9 @@
 		held = slices.Delete(held, at, at+1)
 		b.copies[set][drop]--
 	}
-	b.experts[set][rank] = append(held, add)
-	b.copies[set][add]++
+	if add >= 0 {
+		held = append(held, add)
+		b.copies[set][add]++
+	}
+	b.experts[set][rank] = held
 }
--- a/shared/ranks/plan_test.go
+++ b/shared/ranks/plan_test.go
@@ -100,6 +100,38 @@
 	qt.Assert(t, b.loads[0][3] < 0.6, qt.IsTrue, qt.Commentf("load %.2f", b.loads[0][3]))
 }
 
+// The load of a rank that turns twelve times slower: within a few switches the others
+// hold what it held, and once it is back at its speed the load is even again.
+func TestVerySlowRankIsEmptied(t *testing.T) {
+	for _, size := range []struct{ sets, ranks, experts, places, fresh int }{
+		{3, 12, 96, 11, 1}, {16, 24, 96, 5, 2},
+	} {
+		c := qt.New(t)
+		demand := skewedDemand(rand.New(rand.NewPCG(2, 2)), size.sets, size.experts)
+		m := firstMap(size.sets, size.ranks, size.experts)
+		p := Planner{Places: size.places, NewPerRank: size.fresh}
+		plan := func(times int) {
+			for range times {
+				if next, _ := p.Improve(m, demand); next != nil {
+					checkMap(c, m, next, size.experts, size.places, size.fresh)
+					m = next
+				}
+			}
+		}
+		plan(40)
+		p.Pace = make([]float64, size.ranks)
+		p.Pace[3] = 12
+		plan(8)
+		b := newBoard(m, demand, nil)
+		for set := range m {
+			c.Assert(b.loads[set][3] <= 0.15, qt.IsTrue, qt.Commentf("set %d: load %.2f, %v", set, b.loads[set][3], m[set][3]))
+		}
+		p.Pace = nil
+		plan(40)
+		c.Assert(Skew(m, demand) <= 1.4, qt.IsTrue, qt.Commentf("skew %.3f", Skew(m, demand)))
+	}
+}
+
 func BenchmarkImprove(b *testing.B) {
 	demand := skewedDemand(rand.New(rand.NewPCG(1, 1)), 16, 96)
 	m := firstMap(16, 24, 96)
