Move streams off ranks that hold their group up

Ruled out: waiting for them, which costs all others their objective; these streams are late in any case.

Change: once a slow rank with requests makes the group's passes longer than the longest allowed pause, its streams are asked to go on elsewhere (Move), on the budget of repeats and within the route's attempts. A stream whose caller has a part of it waits for a target until its deadline instead of a quarter of a second.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -183,7 +183,11 @@
 
 // again asks for another target, if the request may have one, and otherwise ends it.
 func (a *attempt) again(ctx context.Context, outcome admission.Outcome, ran bool, cause error) bool {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errFirstEvent) {
+	switch cause := context.Cause(ctx); {
+	case ctx.Err() == nil || errors.Is(cause, errFirstEvent):
+	case errors.Is(cause, errMoved):
+		outcome = admission.Moved
+	default:
 		a.mayHaveRun = a.mayHaveRun || ran
 		a.note(admission.Good, nil) // The caller left or the time is over.
 		a.expire()
@@ -207,7 +211,7 @@
 		}
 		return true
 	}
-	a.router.core.Tell(admission.Retry{ID: a.id, Ran: ran})
+	a.router.core.Tell(admission.Retry{ID: a.id, Ran: ran, Started: a.sent})
 	return false
 }
 
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilswitch.example/platform"
+	"chervilswitch.example/router/core"
 	"chervilswitch.example/router/target"
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
@@ -30,7 +31,10 @@
 	groupRetryAfter = 1200 * time.Millisecond
 )
 
-var errFirstEvent = errors.New("no first event in time")
+var (
+	errFirstEvent = errors.New("no first event in time")
+	errMoved      = errors.New("the target holds its group up")
+)
 
 // exchange is one request of a caller and its answer.
 type exchange struct {
@@ -51,7 +55,7 @@
 	deadline     time.Time
 
 	id   admission.RequestID
-	told <-chan admission.Effect
+	told core.Decisions
 	// sent tells that the answer's head has been given to the caller.
 	sent bool
 	// lastEvent is the id of the last event that the caller was given.
@@ -81,7 +85,7 @@
 	x.id, x.told = x.router.core.Submit(admission.Request{
 		Service: x.service, Organisation: x.organisation, Priority: x.priority,
 		Objective: x.route.Objective, Spent: spent, Deadline: x.deadline,
-		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts,
+		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(),
 	})
 	defer x.router.core.Finish(x.id)
 	for {
@@ -89,7 +93,7 @@
 		case <-ctx.Done():
 			x.expire()
 			return
-		case effect := <-x.told:
+		case effect := <-x.told.Next:
 			switch decision := effect.(type) {
 			case admission.Refuse:
 				x.refused(decision)
@@ -151,6 +155,15 @@
 	a := attempt{exchange: x, target: d.Target, began: time.Now()}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if x.movable() {
+		go func() {
+			select {
+			case <-x.told.Moved:
+				cancel(errMoved)
+			case <-ctx.Done():
+			}
+		}()
+	}
 	if limit := x.attemptLimit(); limit > 0 {
 		a.timer = time.AfterFunc(limit, func() { cancel(errFirstEvent) })
 		defer a.timer.Stop()
@@ -158,6 +171,9 @@
 	return a.run(ctx)
 }
 
+// movable reports whether the answer can go on at another target.
+func (x *exchange) movable() bool { return x.route.Kind == fleet.Stream && x.route.Repeatable() }
+
 // attemptLimit is when an attempt that shows nothing is ended in favour of another
 // one; 0 means that it is left to the request's own deadline.
 func (x *exchange) attemptLimit() time.Duration {
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -38,6 +38,20 @@
 	Logger     log.Interface
 }
 
+// Decisions is what a request is told.
+type Decisions struct {
+	// Next is where to send it, or that it is refused.
+	Next <-chan admission.Effect
+	// Moved asks it to leave the target that it runs on.
+	Moved <-chan struct{}
+}
+
+// listener is the other end of Decisions.
+type listener struct {
+	next  chan admission.Effect
+	moved chan struct{}
+}
+
 // Core is an instance's control state. Its methods may be called from any goroutine.
 type Core struct {
 	options Options
@@ -49,7 +63,7 @@
 	// changed holds, by topic and key, the offset of the last record that was more
 	// than a heartbeat.
 	changed map[fleet.Topic]map[string]int64
-	waiting map[admission.RequestID]chan admission.Effect
+	waiting map[admission.RequestID]listener
 	next    admission.RequestID
 	entries int
 
@@ -68,7 +82,7 @@
 		admission: admission.New(o.DataCentre, o.Budget),
 		directory: fleet.NewDirectory(),
 		changed:   make(map[fleet.Topic]map[string]int64),
-		waiting:   make(map[admission.RequestID]chan admission.Effect),
+		waiting:   make(map[admission.RequestID]listener),
 		targets:   make(map[string]fleet.Target),
 		lapsed:    make(map[string]time.Time),
 		evacuated: make(map[string]bool),
@@ -80,16 +94,16 @@
 // View is what is in force now.
 func (c *Core) View() *fleet.View { return c.view.Load() }
 
-// Submit asks for a target. Decisions come on the channel, until Finish.
-func (c *Core) Submit(r admission.Request) (admission.RequestID, <-chan admission.Effect) {
+// Submit asks for a target. Decisions come until Finish.
+func (c *Core) Submit(r admission.Request) (admission.RequestID, Decisions) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.next++
 	r.ID = c.next
-	told := make(chan admission.Effect, decisions)
-	c.waiting[r.ID] = told
+	l := listener{next: make(chan admission.Effect, decisions), moved: make(chan struct{}, 1)}
+	c.waiting[r.ID] = l
 	c.reduce(time.Now(), admission.Submit{Request: r})
-	return r.ID, told
+	return r.ID, Decisions{Next: l.next, Moved: l.moved}
 }
 
 // Finish ends a request and forgets its channel.
@@ -131,9 +145,14 @@
 			id = d.ID
 		case admission.Refuse:
 			id = d.ID
+		case admission.Move:
+			if l, ok := c.waiting[d.ID]; ok && len(l.moved) == 0 {
+				l.moved <- struct{}{}
+			}
+			continue
 		}
-		if told, ok := c.waiting[id]; ok {
-			told <- effect
+		if l, ok := c.waiting[id]; ok {
+			l.next <- effect
 		}
 	}
 }
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -27,6 +27,8 @@
 	MaxGap time.Duration
 	// MaxAttempts is how many targets the request may be sent to.
 	MaxAttempts int
+	// Movable tells that a running request can go on at another target.
+	Movable bool
 }
 
 // Event is what the reducer hears of.
@@ -40,6 +42,9 @@
 	ID RequestID
 	// Ran tells that the attempt may have run; it then counts as an attempt.
 	Ran bool
+	// Started tells that the caller has a part of the answer already. It then waits
+	// for a target as long as its deadline allows.
+	Started bool
 }
 
 // Finish ends a request, wherever it stands.
@@ -72,11 +77,13 @@
 	Misplaced
 	// GroupDown means that the target waits for another rank of its group.
 	GroupDown
+	// Moved requests left a target that holds its group up.
+	Moved
 )
 
 // String names the outcome in logs.
 func (o Outcome) String() string {
-	return [...]string{"good", "failed", "broken", "unreachable", "full", "misplaced", "groupDown"}[o]
+	return [...]string{"good", "failed", "broken", "unreachable", "full", "misplaced", "groupDown", "moved"}[o]
 }
 
 // Paused is the pause between two events of a stream from a target.
@@ -147,6 +154,10 @@
 	Running, Limit int
 }
 
+// Move takes a running request off its target. A Retry follows, whose repeat is
+// accounted for already.
+type Move struct{ ID RequestID }
+
 // Refuse ends a request that has not run, or whose attempts are used up.
 type Refuse struct {
 	ID RequestID
@@ -183,4 +194,5 @@
 }
 
 func (Dispatch) effect() {}
+func (Move) effect()     {}
 func (Refuse) effect()   {}
--- a/shared/admission/load_test.go
+++ b/shared/admission/load_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"chervilswitch.example/shared/fleet"
+
 	qt "github.com/frankban/quicktest"
 )
 
@@ -100,6 +102,48 @@
 	c.Assert(told.refused < untold.refused, qt.IsTrue)
 }
 
+// The load of ranks that turn slow under running streams: the streams go on
+// elsewhere, instead of making all events of the group late until they end.
+func TestStreamsLeaveSlowRanks(t *testing.T) {
+	load := func(fixed bool) func() play {
+		return func() play {
+			return play{
+				ranks: 12, perSecond: steady(40), stretch: steady(1.3), length: 20 * time.Second, retries: true,
+				pace: slowFrom(1, 8, 5*time.Second, 12*time.Second), fixed: fixed,
+			}
+		}
+	}
+	c := qt.New(t)
+	moved, fixed := plays(load(false)), plays(load(true))
+	c.Logf("moved: %s\nfixed: %s", moved, fixed)
+	c.Assert(moved.onTime > fixed.onTime, qt.IsTrue)
+	c.Assert(moved.onTime+moved.late >= fixed.onTime+fixed.late, qt.IsTrue)
+	c.Assert(moved.abandoned, qt.Equals, 0)
+}
+
+// A stream whose caller has a part of it waits for a target until its deadline: a
+// refusal would cut it.
+func TestStartedStreamWaits(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	engine := sfaxEngine()
+	st := New("a", Budget{Ratio: 0.2, Slack: 92})
+	one := []fleet.Target{{ID: "r1", Service: playService, Group: "g", Slots: 12}}
+	service := fleet.Service{Name: playService, Engine: &engine}
+	st.Reduce(now, Fleet{Service: service, Entries: 1, Targets: one})
+	effects := st.Reduce(now, Submit{Request: Request{
+		ID: 1, Service: playService, Objective: playObjective, MaxGap: playGap, MaxAttempts: 2, Deadline: now.Add(8 * time.Second), Movable: true,
+	}})
+	c.Assert(effects, qt.HasLen, 1)
+	c.Assert(st.Reduce(now, Retry{ID: 1, Ran: true, Started: true}), qt.HasLen, 0)
+	now = now.Add(3 * time.Second)
+	c.Assert(st.Reduce(now, Tick{}), qt.HasLen, 0)
+	two := append(one, fleet.Target{ID: "r2", Service: playService, Group: "g", Slots: 12})
+	effects = st.Reduce(now, Fleet{Service: service, Entries: 1, Targets: two})
+	c.Assert(effects, qt.HasLen, 1)
+	c.Assert(effects[0].(Dispatch).Target.ID, qt.Equals, "r2")
+}
+
 // The load of many very slow ranks: the others serve what they can, and requests are
 // refused as early as ever.
 func TestManyVerySlowRanks(t *testing.T) {
--- a/shared/admission/play_test.go
+++ b/shared/admission/play_test.go
@@ -24,6 +24,8 @@
 	// retries tells whether refused callers come back once.
 	retries bool
 	length  time.Duration
+	// fixed keeps streams where they began.
+	fixed bool
 	// untold keeps from the reducer which ranks are slow.
 	untold bool
 	// unlimited takes the reducer's limit away.
@@ -44,6 +46,7 @@
 	asked   time.Time // Of the caller's first try.
 	again   bool
 	prompt  float64 // Tokens still to read.
+	read    float64 // Tokens of the whole prompt.
 	events  int     // Events still to come.
 	started bool
 	late    bool
@@ -135,6 +138,7 @@
 }
 
 func (p *play) do(e Event) {
+	var moved []RequestID
 	for _, effect := range p.state.Reduce(p.now, e) {
 		switch d := effect.(type) {
 		case Dispatch:
@@ -144,8 +148,15 @@
 			_, _ = fmt.Sscanf(d.Target.ID, "r%d", &s.rank)
 		case Refuse:
 			p.refused(d)
+		case Move:
+			moved = append(moved, d.ID)
 		}
 	}
+	for _, id := range moved {
+		s := p.streams[id]
+		s.waiting, s.prompt = true, s.read+float64(p.engine.Stride*(s.size-s.events))
+		p.do(Retry{ID: id, Ran: true, Started: s.started})
+	}
 }
 
 func (p *play) refused(d Refuse) {
@@ -244,10 +255,11 @@
 	p.next++
 	size = min(size, 60)
 	s := &playedStream{asked: asked, again: again, prompt: 100 + p.random.ExpFloat64()*735, events: size, size: size, waiting: true, last: p.now}
+	s.read = s.prompt
 	p.streams[p.next] = s
 	p.do(Submit{Request: Request{
 		ID: p.next, Service: playService, Organisation: fmt.Sprint(p.random.IntN(10)), Priority: 1,
-		Objective: playObjective, Spent: p.now.Sub(asked), Deadline: p.now.Add(8 * time.Second), MaxGap: playGap, MaxAttempts: 2,
+		Objective: playObjective, Spent: p.now.Sub(asked), Deadline: p.now.Add(8 * time.Second), MaxGap: playGap, MaxAttempts: 2, Movable: !p.fixed,
 	}})
 }
 
--- a/shared/admission/queue.go
+++ b/shared/admission/queue.go
@@ -17,6 +17,8 @@
 	tried []string
 	// target is where it runs; empty while it waits.
 	target string
+	// moving tells that it was asked to leave its target.
+	moving bool
 	// giveUp is when a waiting request is refused.
 	giveUp time.Time
 }
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// holdsUp reports whether the requests of a slow rank make all events of its group
+// late, and the group does without the rank.
+func (s *service) holdsUp(t *target, loads loads) bool {
+	p := s.pass(t.Group)
+	p.plan(s.Engine, s.maxGap)
+	if t.pace <= p.used || s.maxGap <= 0 {
+		return false
+	}
+	running, _ := s.groupLoad(t.Group, loads)
+	return p.pass(s.Engine, running, t.pace) > float64(s.maxGap)
+}
+
 // groupLoad is the mean number of requests of a group's targets that are used, and
 // the pace of the slowest that has any, by what is known.
 func (s *service) groupLoad(group string, loads loads) (running, pace float64) {
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -81,7 +81,7 @@
 	case Groups:
 		st.groups[e.Instance] = e
 		st.setPaces()
-		return st.drainAll(at)
+		return append(st.moveAll(at), st.drainAll(at)...)
 	case PeerLost:
 		delete(st.loads, e.Peer)
 		delete(st.groups, e.Peer)
@@ -251,16 +251,20 @@
 	}
 	refuse := Refuse{ID: r.ID, RetryAfter: retryAfter(s.expectedWait(s.waiting.length)), Queued: s.waiting.length}
 	s.retries.refill(at, 0, st.budget.Slack*budgetShare/float64(st.entries))
+	defer func() { e.moving = false }()
 	switch {
 	case e.ran >= e.request.MaxAttempts || e.attempts > e.request.MaxAttempts:
 		refuse.Reason = NoAttempts
-	case !s.retries.take():
+	case !e.moving && !s.retries.take():
 		refuse.Reason = NoBudget
 	default:
 		if d, ok := st.dispatch(at, s, e); ok {
 			return append([]Effect{d}, st.drain(at, s)...)
 		}
 		e.arrived, e.giveUp = at, at.Add(minPatience)
+		if r.Started || e.moving {
+			e.giveUp = e.request.Deadline
+		}
 		s.waiting.pushFront(e)
 		return st.drain(at, s)
 	}
@@ -346,6 +350,29 @@
 	return effects
 }
 
+// moveAll takes requests off slow ranks that hold their group up so long that all its
+// events are late. The loads of the ranks that are used tell whether there is room.
+func (st *State) moveAll(at time.Time) []Effect {
+	var effects []Effect
+	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
+		e := st.requests[id]
+		s := st.service(e.request.Service)
+		t, ok := s.targets[e.target]
+		if !ok || s.Engine == nil || !e.request.Movable || e.moving || e.ran+1 >= e.request.MaxAttempts {
+			continue
+		}
+		if !s.holdsUp(t, st.loads) {
+			continue
+		}
+		s.retries.refill(at, 0, st.budget.Slack*budgetShare/float64(st.entries))
+		if s.retries.take() {
+			e.moving = true
+			effects = append(effects, Move{ID: id})
+		}
+	}
+	return effects
+}
+
 // tick refuses what waited too long and dispatches what can go.
 func (st *State) tick(at time.Time) []Effect {
 	effects := st.drainAll(at)
