Leave requests where they are while their whole group is stalled

Cause: while one rank is frozen, no rank of its group answers. Requests without a first event were tried again at another rank of the same group after 1.2 s, which used up their attempts and had their prompts read twice: 502 before the group came back.

Change: an attempt stays while its group shows nothing to this instance for 0.8 s; another rank is tried only if the group goes on. TestStalledGroupIsNotTriedElsewhere and TestStalledGroup; the former fails without it (six runs instead of four).

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -27,6 +27,9 @@
 	// firstEventTimeout is when a stream without a first event is tried elsewhere;
 	// callers give up after 2 s.
 	firstEventTimeout = 1200 * time.Millisecond
+	// stallPoll is how often an attempt whose whole group shows nothing is looked at
+	// again: another rank would not answer sooner.
+	stallPoll = 200 * time.Millisecond
 	// groupRetryAfter is for requests that met a group which waits for a rank.
 	groupRetryAfter = 1200 * time.Millisecond
 )
@@ -155,22 +158,39 @@
 	a := attempt{exchange: x, target: d.Target, began: time.Now()}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if x.movable() {
-		go func() {
-			select {
-			case <-x.told.Moved:
-				cancel(errMoved)
-			case <-ctx.Done():
-			}
-		}()
-	}
 	if limit := x.attemptLimit(); limit > 0 {
-		a.timer = time.AfterFunc(limit, func() { cancel(errFirstEvent) })
+		a.timer = time.NewTimer(limit)
 		defer a.timer.Stop()
 	}
+	if x.movable() || a.timer != nil {
+		go a.watch(ctx, cancel)
+	}
 	return a.run(ctx)
 }
 
+// watch ends an attempt that should go on at another target.
+func (a *attempt) watch(ctx context.Context, cancel context.CancelCauseFunc) {
+	var expired <-chan time.Time
+	if a.timer != nil {
+		expired = a.timer.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.told.Moved:
+			cancel(errMoved)
+			return
+		case <-expired:
+			if !a.router.core.Stalled(a.service, a.target.ID) {
+				cancel(errFirstEvent)
+				return
+			}
+			a.timer.Reset(stallPoll)
+		}
+	}
+}
+
 // movable reports whether the answer can go on at another target.
 func (x *exchange) movable() bool { return x.route.Kind == fleet.Stream && x.route.Repeatable() }
 
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -342,6 +342,31 @@
 }
 
 // A stream that cannot go on does not look complete.
+// When a whole group of ranks waits, another rank would not answer sooner: requests
+// stay where they are and are answered late, instead of using up their attempts.
+func TestStalledGroupIsNotTriedElsewhere(t *testing.T) {
+	stalled := func(w *platformtest.Reply, r platformtest.Run) {
+		time.Sleep(firstEventTimeout + 400*time.Millisecond)
+		numbered(1, 3)(w, r)
+	}
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": stalled, "i-2": stalled})
+	for rank, id := range []string{"i-1", "i-2"} {
+		d.store.PutTarget(id, d.replicas[id].RankEntry("svc", "dc-a", "g", rank, 2))
+	}
+	d.eventually("both ranks are known", func() bool { return len(d.routers[0].core.View().Members["g"]) == 2 })
+	var group sync.WaitGroup
+	for _, attempt := range []string{"a", "b", "c", "d"} {
+		group.Go(func() {
+			a, err := d.call(context.Background(), platformtest.Call{Path: streamPath, Attempt: attempt})
+			d.Check(err, qt.IsNil)
+			d.Check(a.status, qt.Equals, http.StatusOK)
+			d.Check(a.body, qt.Equals, wantStream(1, 3))
+		})
+	}
+	group.Wait()
+	d.Assert(d.runs(), qt.HasLen, 4)
+}
+
 func TestCutStreamLooksCut(t *testing.T) {
 	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": func(w *platformtest.Reply, _ platformtest.Run) {
 		w.Begin()
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -164,6 +164,13 @@
 	return c.admission.Running()
 }
 
+// Stalled reports whether a target's group as a whole shows nothing.
+func (c *Core) Stalled(service, target string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.admission.Stalled(time.Now(), service, target)
+}
+
 // Summaries describes each service.
 func (c *Core) Summaries() map[string]admission.Summary {
 	c.mutex.Lock()
--- a/router/planner/duty.go
+++ b/router/planner/duty.go
@@ -41,7 +41,7 @@
 
 	token  atomic.Uint64
 	unable atomic.Bool
-	end   int64 // Where the topic is believed to end.
+	end    int64 // Where the topic is believed to end.
 }
 
 // Token is the fencing token that is held, or 0.
--- a/shared/admission/group_test.go
+++ b/shared/admission/group_test.go
@@ -56,3 +56,33 @@
 	_, ok := back[0].(Dispatch)
 	c.Assert(ok, qt.IsTrue)
 }
+
+// The load of a frozen rank: its whole group shows nothing. A group that is idle, or
+// has just been given its first request, is not stalled.
+func TestStalledGroup(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	engine := sfaxEngine()
+	st := New("a", Budget{Ratio: 0.2, Slack: 92})
+	st.Reduce(now, Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: 1, Targets: []fleet.Target{
+		{ID: "r1", Service: playService, Group: "g", Slots: 12}, {ID: "r2", Service: playService, Group: "g", Slots: 12},
+	}})
+	now = now.Add(time.Minute)
+	c.Assert(st.Stalled(now, playService, "r1"), qt.IsFalse)
+	effects := st.Reduce(now, Submit{Request: Request{
+		ID: 1, Service: playService, Objective: playObjective, MaxGap: playGap, MaxAttempts: 2, Deadline: now.Add(8 * time.Second),
+	}})
+	c.Assert(effects, qt.HasLen, 1)
+	c.Assert(st.Stalled(now, playService, "r1"), qt.IsFalse)
+	now = now.Add(stallTime + time.Millisecond)
+	c.Assert(st.Stalled(now, playService, "r2"), qt.IsTrue)
+	for _, shown := range []Event{
+		Answered{Service: playService, Target: "r1", Outcome: Good, First: 200 * time.Millisecond},
+		Paused{Service: playService, Target: "r1", Gap: 900 * time.Millisecond},
+	} {
+		st.Reduce(now, shown)
+		c.Assert(st.Stalled(now, playService, "r2"), qt.IsFalse)
+		now = now.Add(stallTime + time.Millisecond)
+		c.Assert(st.Stalled(now, playService, "r2"), qt.IsTrue)
+	}
+}
--- a/shared/admission/limit.go
+++ b/shared/admission/limit.go
@@ -29,6 +29,8 @@
 	stretch float64
 	gap     time.Duration
 	at      time.Time
+	// shown is when the group last showed anything, or began to have something to do.
+	shown time.Time
 	// paces lists how many times slower than usual the ranks are, fastest first.
 	paces []float64
 	// used is the pace of the slowest rank that is given requests.
@@ -51,6 +53,7 @@
 // measure takes a pause between two events while ranks had so many requests each,
 // and the slowest of those that had any was at a pace.
 func (p *passModel) measure(at time.Time, e *fleet.Engine, gap time.Duration, running, pace float64) {
+	p.shown = at
 	seen := float64(gap) / float64(modelled(e, running))
 	if slow := delay(e, pace); slow > 0 {
 		seen = max(1, (float64(gap)-slow)/float64(modelled(e, running)))
--- a/shared/admission/queue.go
+++ b/shared/admission/queue.go
@@ -19,6 +19,8 @@
 	target string
 	// moving tells that it was asked to leave its target.
 	moving bool
+	// started tells that its caller has a part of the answer.
+	started bool
 	// giveUp is when a waiting request is refused.
 	giveUp time.Time
 }
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -113,6 +113,30 @@
 	}
 }
 
+// begin counts a request on a target.
+func (s *service) begin(at time.Time, t *target) {
+	if s.groupRunning(t.Group) == 0 {
+		s.pass(t.Group).shown = at
+	}
+	t.running++
+}
+
+// groupRunning is how many requests from here run on a group.
+func (s *service) groupRunning(group string) (sum int) {
+	for _, t := range s.targets {
+		if t.Group == group {
+			sum += t.running
+		}
+	}
+	return sum
+}
+
+// stalled reports whether a group has requests from here and shows nothing: all its
+// ranks wait for one of them.
+func (s *service) stalled(at time.Time, group string) bool {
+	return group != "" && at.Sub(s.pass(group).shown) > stallTime && s.groupRunning(group) > 0
+}
+
 // holdsUp reports whether the requests of a slow rank make all events of its group
 // late, and the group does without the rank.
 func (s *service) holdsUp(t *target, loads loads) bool {
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -23,6 +23,9 @@
 	// closedRetryAfter is for a group that waits for a rank: the rank restarts, and
 	// the group forms anew, within about two seconds.
 	closedRetryAfter = 1200 * time.Millisecond
+	// stallTime is how long a group must show nothing to count as stalled: twice its
+	// longest passes.
+	stallTime = 800 * time.Millisecond
 	// budgetShare is the part of the allowed repeats that is used: what other
 	// instances do is known late.
 	budgetShare = 0.7
@@ -108,6 +111,13 @@
 	return running
 }
 
+// Stalled reports whether a target's group as a whole shows nothing.
+func (st *State) Stalled(at time.Time, service, target string) bool {
+	s := st.service(service)
+	t, ok := s.targets[target]
+	return ok && s.stalled(at, t.Group)
+}
+
 // Summary describes a service for logs and metrics.
 type Summary struct {
 	// Limit is the highest limit of a target.
@@ -219,7 +229,7 @@
 	if t == nil {
 		return Dispatch{}, false
 	}
-	t.running++
+	s.begin(at, t)
 	e.target = t.ID
 	e.attempts++
 	st.requests[e.request.ID] = e
@@ -262,7 +272,8 @@
 			return append([]Effect{d}, st.drain(at, s)...)
 		}
 		e.arrived, e.giveUp = at, at.Add(minPatience)
-		if r.Started || e.moving {
+		e.started = r.Started || e.moving
+		if e.started {
 			e.giveUp = e.request.Deadline
 		}
 		s.waiting.pushFront(e)
@@ -293,6 +304,9 @@
 	s := st.service(e.Service)
 	if t, ok := s.targets[e.Target]; ok {
 		t.note(at, e)
+		if e.First > 0 {
+			s.pass(t.Group).shown = at
+		}
 	}
 	switch {
 	case e.Outcome == GroupDown:
@@ -307,10 +321,11 @@
 	return nil
 }
 
-// refuseWaiting refuses what waits for a group that is down.
+// refuseWaiting refuses what waits for a group that is down, but for streams whose
+// callers have a part of them.
 func (st *State) refuseWaiting(s *service) []Effect {
 	var effects []Effect
-	for _, e := range sortedRefusals(s.waiting.remove(func(*entry) bool { return true })) {
+	for _, e := range sortedRefusals(s.waiting.remove(func(e *entry) bool { return !e.started })) {
 		delete(st.requests, e.request.ID)
 		effects = append(effects, Refuse{ID: e.request.ID, RetryAfter: closedRetryAfter, Reason: GroupClosed})
 	}
