End the readers of a link before its session closes

While a session closes, readers find neither data nor an end and try again at once; with one processor nobody else gets a turn.

Change: the connection under a session sets a past deadline on all its streams as soon as it is closed, so readers end.

--- /dev/null
+++ b/shared/peer/close_test.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// slowCloser is a connection whose close takes its time.
+type slowCloser struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c *slowCloser) Close() error {
+	time.Sleep(c.delay)
+	return c.Conn.Close()
+}
+
+func processorTime(c *qt.C) time.Duration {
+	var usage syscall.Rusage
+	c.Assert(syscall.Getrusage(syscall.RUSAGE_SELF, &usage), qt.IsNil)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// Readers of a link that closes wait or end; they do not use the processor up, which
+// would keep a machine with one processor from closing the link at all.
+func TestReadersOfAClosingLinkDoNotSpin(t *testing.T) {
+	const delay = 400 * time.Millisecond
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	serving, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() {
+		_ = Serve(serving, listener, func(ctx context.Context, _ *Open, _ *Stream) { <-ctx.Done() })
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	link, err := newLink(&slowCloser{Conn: conn, delay: delay})
+	c.Assert(err, qt.IsNil)
+	ended := make(chan error)
+	const readers = 3
+	for range readers {
+		s, err := link.Open(&Open{Kind: &Open_Entry{Entry: &EntryNews{}}})
+		c.Assert(err, qt.IsNil)
+		go func() { ended <- s.Receive(new(EntryNews)) }()
+	}
+	time.Sleep(50 * time.Millisecond) // The readers wait for a message.
+	before := processorTime(c)
+	c.Assert(link.Close(), qt.IsNil)
+	for range readers {
+		c.Assert(<-ended, qt.ErrorIs, ErrLink)
+	}
+	used := processorTime(c) - before
+	c.Assert(used < delay/4, qt.IsTrue, qt.Commentf("%s of processor time", used))
+}
--- a/shared/peer/link.go
+++ b/shared/peer/link.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilswitch.example/shared/fault"
@@ -38,6 +40,7 @@
 type Stream struct {
 	stream net.Conn
 	reader *bufio.Reader
+	link   *linkConn // nil if the stream is a connection of its own.
 }
 
 // NewStream speaks messages over a connection.
@@ -45,6 +48,14 @@
 	return &Stream{stream: conn, reader: bufio.NewReader(conn)}
 }
 
+// newLinkStream speaks messages over one of a link's streams.
+func newLinkStream(conn net.Conn, link *linkConn) *Stream {
+	s := NewStream(conn)
+	s.link = link
+	link.add(s)
+	return s
+}
+
 // Send writes one message. Errors match ErrLink.
 func (s *Stream) Send(m proto.Message) error {
 	if err := s.stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -67,24 +78,84 @@
 
 // ReceiveBefore reads one message, with a limit on the time it takes.
 func (s *Stream) ReceiveBefore(m proto.Message, timeout time.Duration) error {
-	if err := s.stream.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+	if err := s.setReadDeadline(time.Now().Add(timeout)); err != nil {
 		return ErrLink.Wrap(err, "set a deadline")
 	}
-	defer func() { _ = s.stream.SetReadDeadline(time.Time{}) }()
+	defer func() { _ = s.setReadDeadline(time.Time{}) }()
 	return s.Receive(m)
 }
 
+// setReadDeadline sets a deadline, unless the link is closing and has set one.
+func (s *Stream) setReadDeadline(at time.Time) error {
+	err := s.stream.SetReadDeadline(at)
+	if s.link != nil && s.link.closing.Load() {
+		return s.stream.SetReadDeadline(past)
+	}
+	return err
+}
+
 // Close ends the stream.
-func (s *Stream) Close() error { return s.stream.Close() }
+func (s *Stream) Close() error {
+	if s.link != nil {
+		s.link.remove(s)
+	}
+	return s.stream.Close()
+}
 
 // CloseWith ends the stream when the context ends. Stop ends the watch.
 func (s *Stream) CloseWith(ctx context.Context) (stop func() bool) {
-	return context.AfterFunc(ctx, func() { _ = s.stream.Close() })
+	return context.AfterFunc(ctx, func() { _ = s.Close() })
+}
+
+// past is a deadline that is over.
+var past = time.Unix(1, 0)
+
+// linkConn is the connection under a link. While a session of yamux closes, readers
+// of its streams would try again and again without a pause, and keep a single
+// processor from ever finishing the close; they are ended first.
+type linkConn struct {
+	net.Conn
+	closing atomic.Bool
+	mutex   sync.Mutex
+	streams map[*Stream]struct{}
+}
+
+func newLinkConn(conn net.Conn) *linkConn {
+	return &linkConn{Conn: conn, streams: make(map[*Stream]struct{})}
+}
+
+func (c *linkConn) add(s *Stream) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.streams[s] = struct{}{}
+	if c.closing.Load() {
+		_ = s.stream.SetReadDeadline(past) // It fails only on a closed stream.
+	}
+}
+
+func (c *linkConn) remove(s *Stream) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.streams, s)
+}
+
+// Close is called by the session as soon as it closes, whoever caused it.
+func (c *linkConn) Close() error {
+	c.closing.Store(true)
+	c.mutex.Lock()
+	for s := range c.streams {
+		_ = s.stream.SetReadDeadline(past) // It fails only on a closed stream.
+	}
+	c.mutex.Unlock()
+	return c.Conn.Close()
 }
 
 // Link is a connection to another process that carries many streams. Its
 // heartbeats close it when the other end has gone silent.
-type Link struct{ session *yamux.Session }
+type Link struct {
+	conn    *linkConn
+	session *yamux.Session
+}
 
 // Dial connects to a process. A nil TLS configuration means plain TCP. Errors
 // match ErrLink.
@@ -95,11 +166,17 @@
 	if err != nil {
 		return nil, ErrLink.Wrap(err, "dial %s", address)
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	return newLink(conn)
+}
+
+func newLink(conn net.Conn) (*Link, error) {
+	l := &Link{conn: newLinkConn(conn)}
+	session, err := yamux.Client(l.conn, sessionConfig())
 	if err != nil {
 		return nil, ErrLink.Wrap(err, "open a session")
 	}
-	return &Link{session: session}, nil
+	l.session = session
+	return l, nil
 }
 
 func dialConn(ctx context.Context, address netip.AddrPort, config *tls.Config) (net.Conn, error) {
@@ -115,9 +192,9 @@
 	if err != nil {
 		return nil, ErrLink.Wrap(err, "open a stream")
 	}
-	s := NewStream(conn)
+	s := newLinkStream(conn, l.conn)
 	if err := s.Send(first); err != nil {
-		_ = conn.Close()
+		_ = s.Close()
 		return nil, err
 	}
 	return s, nil
@@ -149,7 +226,8 @@
 }
 
 func serveLink(ctx context.Context, conn net.Conn, handle Handler) {
-	session, err := yamux.Server(conn, sessionConfig())
+	under := newLinkConn(conn)
+	session, err := yamux.Server(under, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -162,12 +240,11 @@
 		if err != nil {
 			return
 		}
-		go serveStream(ctx, accepted, handle)
+		go serveStream(ctx, newLinkStream(accepted, under), handle)
 	}
 }
 
-func serveStream(ctx context.Context, conn net.Conn, handle Handler) {
-	s := NewStream(conn)
+func serveStream(ctx context.Context, s *Stream, handle Handler) {
 	defer s.Close()
 	first := new(Open)
 	if err := s.ReceiveBefore(first, writeTimeout); err != nil {
