Sum peers' loads once

Cause: each choice and each event of a stream summed what every peer runs, for every target: 17 entries and 72 ranks make 1,200 lookups.

Change: the sums are kept as peers tell; slow ranks are looked at again only when the news of them changed.

--- a/shared/admission/limits_test.go
+++ b/shared/admission/limits_test.go
@@ -104,3 +104,58 @@
 	}
 	c.Assert(order, qt.DeepEquals, []RequestID{5, 1, 4, 2, 3})
 }
+
+// What peers have running adds up by target, and goes with the peer.
+func TestLoadsOfPeers(t *testing.T) {
+	c := qt.New(t)
+	l := newLoads()
+	l.set("p", map[string]int{"a": 2, "b": 1})
+	l.set("q", map[string]int{"a": 3})
+	c.Assert(l.of("a"), qt.Equals, 5)
+	l.set("p", map[string]int{"a": 1})
+	c.Assert(l.of("a"), qt.Equals, 4)
+	c.Assert(l.of("b"), qt.Equals, 0)
+	l.set("p", nil)
+	l.set("q", nil)
+	c.Assert(l.of("a"), qt.Equals, 0)
+	c.Assert(l.sums, qt.HasLen, 0)
+}
+
+// grownState is an instance's share of the grown deployments: 72 ranks in three
+// groups, 16 peers with requests on each.
+func grownState() *State {
+	engine := sfaxEngine()
+	st := New("a", Budget{Ratio: 0.2, Slack: 234})
+	fleetEvent := Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: 17}
+	running := make(map[string]int)
+	for i := range 72 {
+		id := fmt.Sprintf("r%02d", i)
+		fleetEvent.Targets = append(fleetEvent.Targets, fleet.Target{ID: id, Service: playService, Group: fmt.Sprint(i / 24), Slots: 10})
+		running[id] = i % 2
+	}
+	st.Reduce(time.Unix(50, 0), fleetEvent)
+	for peer := range 16 {
+		if peer < 4 {
+			st.Reduce(time.Unix(50, 0), PeerLoad{Peer: fmt.Sprint(peer), Running: running})
+		} else {
+			st.Reduce(time.Unix(50, 0), PeerLoad{Peer: fmt.Sprint(peer), Running: map[string]int{}})
+		}
+	}
+	return st
+}
+
+func BenchmarkSubmit(b *testing.B) {
+	st, at := grownState(), time.Unix(60, 0)
+	for id := RequestID(1); b.Loop(); id++ {
+		st.Reduce(at, Submit{Request: Request{ID: id, Service: playService, MaxGap: playGap, Objective: playObjective, Deadline: at.Add(8 * time.Second), MaxAttempts: 2}})
+		st.Reduce(at, Finish{ID: id})
+	}
+}
+
+func BenchmarkPaused(b *testing.B) {
+	st, at := grownState(), time.Unix(60, 0)
+	for b.Loop() {
+		at = at.Add(time.Millisecond)
+		st.Reduce(at, Paused{Service: playService, Target: "r05", Gap: 50 * time.Millisecond})
+	}
+}
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -228,15 +228,33 @@
 	s.lastEnd = at
 }
 
-// loads is what other entry instances have running, by instance and target.
-type loads map[string]map[string]int
+// loads is what other entry instances have running, with its sum by target.
+type loads struct {
+	peers map[string]map[string]int
+	sums  map[string]int
+}
+
+func newLoads() loads {
+	return loads{peers: make(map[string]map[string]int), sums: make(map[string]int)}
+}
+
+func (l loads) of(target string) int { return l.sums[target] }
 
-func (l loads) of(target string) int {
-	sum := 0
-	for _, running := range l {
-		sum += running[target]
+// set notes what a peer has running now; nil forgets the peer.
+func (l loads) set(peer string, running map[string]int) {
+	for target, n := range l.peers[peer] {
+		if l.sums[target] -= n; l.sums[target] == 0 {
+			delete(l.sums, target)
+		}
+	}
+	delete(l.peers, peer)
+	if running == nil {
+		return
+	}
+	l.peers[peer] = running
+	for target, n := range running {
+		l.sums[target] += n
 	}
-	return sum
 }
 
 // sortedRefusals keeps effects in an order that repeats.
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -54,7 +54,7 @@
 func New(dataCentre string, budget Budget) *State {
 	return &State{
 		dataCentre: dataCentre, budget: budget, entries: 1,
-		services: make(map[string]*service), requests: make(map[RequestID]*entry), loads: make(loads),
+		services: make(map[string]*service), requests: make(map[RequestID]*entry), loads: newLoads(),
 		groups: make(map[string]Groups),
 	}
 }
@@ -79,14 +79,21 @@
 		s.setPaces(st.pace)
 		return st.drain(at, s)
 	case PeerLoad:
-		st.loads[e.Peer] = e.Running
+		st.loads.set(e.Peer, e.Running)
 		return st.drainAll(at)
 	case Groups:
+		changed := !maps.Equal(st.groups[e.Instance].Paces, e.Paces)
 		st.groups[e.Instance] = e
-		st.setPaces()
-		return append(st.moveAll(at), st.drainAll(at)...)
+		if changed {
+			st.setPaces()
+		}
+		var effects []Effect
+		if len(e.Paces) > 0 {
+			effects = st.moveAll(at)
+		}
+		return append(effects, st.drainAll(at)...)
 	case PeerLost:
-		delete(st.loads, e.Peer)
+		st.loads.set(e.Peer, nil)
 		delete(st.groups, e.Peer)
 		st.setPaces()
 		return st.drainAll(at)
