Give a group that goes on again time for its answers

Cause: TestStalledGroupIsNotTriedElsewhere failed once under the race detector: an attempt was ended the moment another stream of the stalled group showed its first event, just before its own. Ruled out: the load of the machine as such (the order of two timers decides).

Change: after a stall an attempt has 0.4 s more for its own first event. TestStreamLeavesSlowRank plays the move of a stream with real connections; it fails if the cause of the move is not told apart.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -30,6 +30,9 @@
 	// stallPoll is how often an attempt whose whole group shows nothing is looked at
 	// again: another rank would not answer sooner.
 	stallPoll = 200 * time.Millisecond
+	// stallGrace is how long an attempt's own first event may take once its group goes
+	// on: prompts that waited are read first.
+	stallGrace = 400 * time.Millisecond
 	// groupRetryAfter is for requests that met a group which waits for a rank.
 	groupRetryAfter = 1200 * time.Millisecond
 )
@@ -171,6 +174,7 @@
 // watch ends an attempt that should go on at another target.
 func (a *attempt) watch(ctx context.Context, cancel context.CancelCauseFunc) {
 	var expired <-chan time.Time
+	stalled := false
 	if a.timer != nil {
 		expired = a.timer.C
 	}
@@ -182,11 +186,17 @@
 			cancel(errMoved)
 			return
 		case <-expired:
-			if !a.router.core.Stalled(a.service, a.target.ID) {
+			switch now := a.router.core.Stalled(a.service, a.target.ID); {
+			case now:
+				stalled = true
+				a.timer.Reset(stallPoll)
+			case stalled:
+				stalled = false
+				a.timer.Reset(stallGrace)
+			default:
 				cancel(errFirstEvent)
 				return
 			}
-			a.timer.Reset(stallPoll)
 		}
 	}
 }
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chervilswitch.example/platform/platformtest"
+	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/settings"
 
@@ -367,6 +368,52 @@
 	d.Assert(d.runs(), qt.HasLen, 4)
 }
 
+// A stream on a rank that turns slow goes on at another one, with no event missing or
+// twice, as soon as the planner tells of it.
+func TestStreamLeavesSlowRank(t *testing.T) {
+	began := make(chan string, 2)
+	rankOf := func(id string) platformtest.Behaviour {
+		return func(w *platformtest.Reply, run platformtest.Run) {
+			if run.LastEvent != "" {
+				numbered(1, 5)(w, run)
+				return
+			}
+			w.Begin()
+			w.Event(1)
+			w.Event(2)
+			time.Sleep(200 * time.Millisecond) // The caller has the events by now.
+			began <- id
+			time.Sleep(2 * time.Second) // Far slower than the other.
+		}
+	}
+	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": rankOf("i-1"), "i-2": rankOf("i-2")})
+	routes := testRoutes("svc")
+	for i := range routes {
+		routes[i].MaxGap = 100 * time.Millisecond
+	}
+	d.store.PutConfiguration(platformtest.Configuration(2, routes, map[string]string{testKey: "org"}))
+	for rank, id := range []string{"i-1", "i-2"} {
+		d.store.PutTarget(id, d.replicas[id].RankEntry("svc", "dc-a", "g", rank, 2))
+	}
+	d.eventually("the ranks and their engines are known", func() bool {
+		v := d.routers[0].core.View()
+		return len(v.Members["g"]) == 2 && v.Configuration.Version == 2
+	})
+	answered := make(chan answer, 1)
+	go func() {
+		a, err := d.call(context.Background(), platformtest.Call{Path: streamPath, Attempt: "a"})
+		d.Check(err, qt.IsNil)
+		answered <- a
+	}()
+	slow := <-began
+	d.routers[0].entries.SetGroups(admission.Groups{Paces: map[string]float64{slow: 50}})
+	a := <-answered
+	d.Assert(a.cut, qt.IsFalse)
+	d.Assert(a.body, qt.Equals, wantStream(1, 5))
+	d.Assert(d.replicas[slow].Runs(), qt.HasLen, 1)
+	d.Assert(d.runs(), qt.HasLen, 2)
+}
+
 func TestCutStreamLooksCut(t *testing.T) {
 	d := deploy(t, 1, map[string]platformtest.Behaviour{"i-1": func(w *platformtest.Reply, _ platformtest.Run) {
 		w.Begin()
