Tell the state of groups in the order in which it changes

Cause: found in reading: groups change in goroutines of their own, and what they told was sent after the mutex was left. An older state could be told last, and a group that is open again would have been refused until its next change.

Change: it is told under the mutex.

Measured: that test, also under the race detector.

--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -45,9 +45,11 @@
 	paces  map[string]float64
 }
 
-// setState notes how a group does.
+// setState notes how a group does. Groups is called under the mutex, so that what is
+// told last is what is known last.
 func (p *Planner) setState(group string, state groupState) {
 	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	if p.states == nil {
 		p.states = make(map[string]groupState)
 	}
@@ -61,7 +63,6 @@
 	}
 	changed := !slices.Equal(groups.Closed, p.told.Closed) || !maps.Equal(groups.Paces, p.told.Paces)
 	p.told = groups
-	p.mutex.Unlock()
 	if changed {
 		events.Log(p.Logger, events.GroupsChanged, log.Fields{"group": group, "closed": groups.Closed, "paces": groups.Paces})
 		p.Groups(groups)
@@ -74,8 +75,8 @@
 	ended := make(chan struct{})
 	defer func() {
 		p.mutex.Lock()
+		defer p.mutex.Unlock()
 		p.states, p.told = nil, admission.Groups{}
-		p.mutex.Unlock()
 		p.Groups(admission.Groups{})
 	}()
 	count := 0
