Keep repeats off ranks that are left out

Cause: found in reading: a repeat may exceed a target's limit by one, so a stream that left one slow rank could go to another slow one, whose limit is 0. Ruled out: the score of a choice alone (it prefers others only while they have more room).

Change: a target with limit 0 is no choice. TestRepeatsAvoidSlowRanks fails without it (r2 instead of r3).

--- a/shared/admission/group_test.go
+++ b/shared/admission/group_test.go
@@ -86,3 +86,30 @@
 		c.Assert(st.Stalled(now, playService, "r2"), qt.IsTrue)
 	}
 }
+
+// The load of two slow ranks under streams: a stream that leaves one of them does not go
+// to the other, however full the rest is.
+func TestRepeatsAvoidSlowRanks(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	engine := sfaxEngine()
+	engine.Slots = 1
+	st := New("a", Budget{Ratio: 0.2, Slack: 92})
+	st.Reduce(now, Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: 1, Targets: []fleet.Target{
+		{ID: "r1", Service: playService, Group: "g", Slots: 1}, {ID: "r2", Service: playService, Group: "g", Slots: 1},
+		{ID: "r3", Service: playService, Group: "g", Slots: 1},
+	}})
+	at := make(map[RequestID]string)
+	for id := RequestID(1); id <= 3; id++ {
+		effects := st.Reduce(now, Submit{Request: Request{
+			ID: id, Service: playService, Objective: playObjective, MaxGap: playGap, MaxAttempts: 2, Deadline: now.Add(8 * time.Second), Movable: true,
+		}})
+		at[id] = effects[0].(Dispatch).Target.ID
+	}
+	st.Reduce(now, Finish{ID: 2})
+	effects := st.Reduce(now, Groups{Instance: "p", Paces: map[string]float64{at[1]: 20, at[2]: 20}})
+	c.Assert(effects, qt.DeepEquals, []Effect{Move{ID: 1}})
+	effects = st.Reduce(now, Retry{ID: 1, Ran: true, Started: true})
+	c.Assert(effects, qt.HasLen, 1)
+	c.Assert(effects[0].(Dispatch).Target.ID, qt.Equals, at[3])
+}
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -184,7 +184,11 @@
 	for i := range s.order {
 		t := s.targets[s.order[(i+s.turn)%len(s.order)]]
 		running := t.running + st.loads.of(t.ID)
-		limit := limits(t) + extra
+		limit := limits(t)
+		if limit == 0 {
+			continue // A repeat does not go to a rank that is left out either.
+		}
+		limit += extra
 		if running >= limit || at.Before(t.resting) || slices.Contains(e.tried, t.ID) || t.cold(at, s.ColdRate, st.entries) {
 			continue
 		}
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -373,7 +373,7 @@
 }
 
 // moveAll takes requests off slow ranks that hold their group up so long that all its
-// events are late. The loads of the ranks that are used tell whether there is room.
+// events are late.
 func (st *State) moveAll(at time.Time) []Effect {
 	var effects []Effect
 	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
