--- a/shared/admission/limits_test.go
+++ b/shared/admission/limits_test.go
@@ -121,41 +121,63 @@
 	c.Assert(l.sums, qt.HasLen, 0)
 }
 
-// grownState is an instance's share of the grown deployments: 72 ranks in three
-// groups, 16 peers with requests on each.
-func grownState() *State {
+// largeState is an instance of a large deployment: ranks in groups of 24, and peers of
+// which each has requests on some.
+func largeState(targets, peers int) *State {
 	engine := sfaxEngine()
 	st := New("a", Budget{Ratio: 0.2, Slack: 234})
-	fleetEvent := Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: 17}
-	running := make(map[string]int)
-	for i := range 72 {
-		id := fmt.Sprintf("r%02d", i)
-		fleetEvent.Targets = append(fleetEvent.Targets, fleet.Target{ID: id, Service: playService, Group: fmt.Sprint(i / 24), Slots: 10})
-		running[id] = i % 2
+	all := Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: peers + 1}
+	for i := range targets {
+		all.Targets = append(all.Targets, fleet.Target{ID: fmt.Sprintf("r%03d", i), Service: playService, Group: fmt.Sprint(i / 24), Slots: 10})
 	}
-	st.Reduce(time.Unix(50, 0), fleetEvent)
-	for peer := range 16 {
-		if peer < 4 {
-			st.Reduce(time.Unix(50, 0), PeerLoad{Peer: fmt.Sprint(peer), Running: running})
-		} else {
-			st.Reduce(time.Unix(50, 0), PeerLoad{Peer: fmt.Sprint(peer), Running: map[string]int{}})
+	st.Reduce(time.Unix(50, 0), all)
+	for p := range peers {
+		running := make(map[string]int)
+		for i := p % 7; i < targets; i += peers {
+			running[all.Targets[i].ID] = 1
 		}
+		st.Reduce(time.Unix(50, 0), PeerLoad{Peer: fmt.Sprint(p), Running: running})
 	}
 	return st
 }
 
+// sizes are those of the sites, the grown sites and the letter.
+var sizes = []struct{ targets, peers int }{{12, 3}, {72, 16}, {650, 369}}
+
 func BenchmarkSubmit(b *testing.B) {
-	st, at := grownState(), time.Unix(60, 0)
-	for id := RequestID(1); b.Loop(); id++ {
-		st.Reduce(at, Submit{Request: Request{ID: id, Service: playService, MaxGap: playGap, Objective: playObjective, Deadline: at.Add(8 * time.Second), MaxAttempts: 2}})
-		st.Reduce(at, Finish{ID: id})
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%dtargets", size.targets), func(b *testing.B) {
+			st, at := largeState(size.targets, size.peers), time.Unix(60, 0)
+			for id := RequestID(1); b.Loop(); id++ {
+				st.Reduce(at, Submit{Request: Request{
+					ID: id, Service: playService, MaxGap: playGap, Objective: playObjective, Deadline: at.Add(8 * time.Second), MaxAttempts: 2,
+				}})
+				st.Reduce(at, Finish{ID: id})
+			}
+		})
 	}
 }
 
 func BenchmarkPaused(b *testing.B) {
-	st, at := grownState(), time.Unix(60, 0)
-	for b.Loop() {
-		at = at.Add(time.Millisecond)
-		st.Reduce(at, Paused{Service: playService, Target: "r05", Gap: 50 * time.Millisecond})
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%dtargets", size.targets), func(b *testing.B) {
+			st, at := largeState(size.targets, size.peers), time.Unix(60, 0)
+			for b.Loop() {
+				at = at.Add(time.Millisecond)
+				st.Reduce(at, Paused{Service: playService, Target: "r005", Gap: 50 * time.Millisecond})
+			}
+		})
+	}
+}
+
+func BenchmarkPeerLoad(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("%dtargets", size.targets), func(b *testing.B) {
+			st, at := largeState(size.targets, size.peers), time.Unix(60, 0)
+			running := map[string]int{"r001": 1, "r003": 1, "r005": 2}
+			for b.Loop() {
+				st.Reduce(at, PeerLoad{Peer: "1", Running: running})
+			}
+		})
 	}
 }
