--- a/shared/admission/group_test.go
+++ b/shared/admission/group_test.go
@@ -9,17 +9,26 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// groupOf gives a reducer that knows one group of ranks.
+func groupOf(now time.Time, slots int, ranks ...string) *State {
+	engine := sfaxEngine()
+	engine.Slots = slots
+	known := Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: 1}
+	for _, id := range ranks {
+		known.Targets = append(known.Targets, fleet.Target{ID: id, Service: playService, Group: "g", Slots: slots})
+	}
+	st := New("a", Budget{Ratio: 0.2, Slack: 92})
+	st.Reduce(now, known)
+	return st
+}
+
 // The load of a group that restarts under traffic, as after a loss of power: what
 // waits or comes while the group is down is refused at once, to come back when it
 // can be up again, instead of queueing for it.
 func TestGroupDownRefusesAtOnce(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(100, 0)
-	engine := sfaxEngine()
-	st := New("a", Budget{Ratio: 0.2, Slack: 92})
-	st.Reduce(now, Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: 1, Targets: []fleet.Target{
-		{ID: "r1", Service: playService, Group: "g", Slots: 12}, {ID: "r2", Service: playService, Group: "g", Slots: 12},
-	}})
+	st := groupOf(now, 12, "r1", "r2")
 	ask := func(id RequestID) []Effect {
 		return st.Reduce(now, Submit{Request: Request{
 			ID: id, Service: playService, Objective: playObjective, MaxGap: playGap, MaxAttempts: 2, Deadline: now.Add(8 * time.Second),
@@ -62,11 +71,7 @@
 func TestStalledGroup(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(100, 0)
-	engine := sfaxEngine()
-	st := New("a", Budget{Ratio: 0.2, Slack: 92})
-	st.Reduce(now, Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: 1, Targets: []fleet.Target{
-		{ID: "r1", Service: playService, Group: "g", Slots: 12}, {ID: "r2", Service: playService, Group: "g", Slots: 12},
-	}})
+	st := groupOf(now, 12, "r1", "r2")
 	now = now.Add(time.Minute)
 	c.Assert(st.Stalled(now, playService, "r1"), qt.IsFalse)
 	effects := st.Reduce(now, Submit{Request: Request{
@@ -92,13 +97,7 @@
 func TestRepeatsAvoidSlowRanks(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(100, 0)
-	engine := sfaxEngine()
-	engine.Slots = 1
-	st := New("a", Budget{Ratio: 0.2, Slack: 92})
-	st.Reduce(now, Fleet{Service: fleet.Service{Name: playService, Engine: &engine}, Entries: 1, Targets: []fleet.Target{
-		{ID: "r1", Service: playService, Group: "g", Slots: 1}, {ID: "r2", Service: playService, Group: "g", Slots: 1},
-		{ID: "r3", Service: playService, Group: "g", Slots: 1},
-	}})
+	st := groupOf(now, 1, "r1", "r2", "r3")
 	at := make(map[RequestID]string)
 	for id := RequestID(1); id <= 3; id++ {
 		effects := st.Reduce(now, Submit{Request: Request{
