Keep one time to come back to a closed group

Cause: the router's caller package had a constant of its own beside admission's, with the same 1.2 s and the same meaning, so changing one would have left the other behind. Change: admission exports its constant and the caller uses it. Behaviour is the same; nothing was measured beyond the project's checks.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -207,7 +207,7 @@
 		if a.mayHaveRun {
 			a.fail(http.StatusBadGateway, "groupDown")
 		} else {
-			a.refuse(groupRetryAfter, "groupDown")
+			a.refuse(admission.ClosedRetryAfter, "groupDown")
 		}
 		return true
 	}
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -33,8 +33,6 @@
 	// stallGrace is how long an attempt's own first event may take once its group goes
 	// on: prompts that waited are read first.
 	stallGrace = 400 * time.Millisecond
-	// groupRetryAfter is for requests that met a group which waits for a rank.
-	groupRetryAfter = 1200 * time.Millisecond
 )
 
 var (
@@ -121,7 +119,7 @@
 	})
 	after := r.RetryAfter
 	if x.groupDown {
-		after = max(after, groupRetryAfter)
+		after = max(after, admission.ClosedRetryAfter)
 	}
 	switch {
 	case x.sent:
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -20,9 +20,9 @@
 	// noTargetRetryAfter is for a service without targets; a restarted target
 	// registers within a heartbeat.
 	noTargetRetryAfter = time.Second
-	// closedRetryAfter is for a group that waits for a rank: the rank restarts, and
+	// ClosedRetryAfter is for a group that waits for a rank: the rank restarts, and
 	// the group forms anew, within about two seconds.
-	closedRetryAfter = 1200 * time.Millisecond
+	ClosedRetryAfter = 1200 * time.Millisecond
 	// stallTime is how long a group must show nothing to count as stalled: twice its
 	// longest passes.
 	stallTime = 800 * time.Millisecond
@@ -170,7 +170,7 @@
 		return []Effect{Refuse{ID: r.ID, RetryAfter: noTargetRetryAfter, Reason: NoTarget}}
 	}
 	if at.Before(s.paused) || st.isClosed(r.Service) {
-		return []Effect{Refuse{ID: r.ID, RetryAfter: closedRetryAfter, Reason: GroupClosed}}
+		return []Effect{Refuse{ID: r.ID, RetryAfter: ClosedRetryAfter, Reason: GroupClosed}}
 	}
 	ahead := s.waiting.ahead(r.Priority)
 	if ahead == 0 {
@@ -334,7 +334,7 @@
 	var effects []Effect
 	for _, e := range sortedRefusals(s.waiting.remove(func(e *entry) bool { return !e.started })) {
 		delete(st.requests, e.request.ID)
-		effects = append(effects, Refuse{ID: e.request.ID, RetryAfter: closedRetryAfter, Reason: GroupClosed})
+		effects = append(effects, Refuse{ID: e.request.ID, RetryAfter: ClosedRetryAfter, Reason: GroupClosed})
 	}
 	return effects
 }
