Log the shared parts of a prompt and whether an answer had begun

Cause: the logs could not tell a crash under load from retries or from a property that the crashing requests share: a prompt's parts were not decoded.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -26,6 +26,8 @@
 	// timeToFirst is the time from the start of the attempt to the first event of a
 	// stream, or to the whole body of another response.
 	timeToFirst time.Duration
+	// begun reports whether the target has sent the head of a response.
+	begun bool
 	// timer expires at the attempt timeout; nil if only the request's deadline applies.
 	timer *time.Timer
 }
@@ -49,6 +51,7 @@
 		return a.retryOrEnd(ctx, admission.Broken, true, err)
 	}
 	defer response.Body.Close()
+	a.begun = true
 	switch {
 	case response.Headers.NotRun:
 		return a.handleNotRun(ctx, response)
@@ -229,7 +232,7 @@
 // reportOutcome logs the outcome of the attempt and reports it to the core.
 func (a *attempt) reportOutcome(outcome admission.Outcome, cause error) {
 	fields := log.Fields{
-		"service": a.service, "target": a.target.ID, "outcome": outcome.String(),
+		"service": a.service, "target": a.target.ID, "outcome": outcome.String(), "begun": a.begun,
 		"took": time.Since(a.began).String(), "first": a.timeToFirst.String(), "lastEvent": a.lastEvent,
 	}
 	if cause != nil {
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -155,7 +155,8 @@
 	x.attempts++
 	events.Log(x.logger, events.RequestDispatched, log.Fields{
 		"service": x.service, "route": x.route.Name, "organisation": x.organisation, "target": d.Target.ID,
-		"attempt": d.Attempt, "waited": d.Waited.String(), "running": d.Running, "limit": d.Limit, "version": x.version,
+		"sharedParts": x.headers.SharedParts,
+		"attempt":     d.Attempt, "waited": d.Waited.String(), "running": d.Running, "limit": d.Limit, "version": x.version,
 	})
 	a := attempt{exchange: x, target: d.Target, began: time.Now()}
 	ctx, cancel := context.WithCancelCause(ctx)
