Refuse requests with a part that crashed a target

Cause: the router looks at a request alone. A request that crashes its target is retried, and the next request with the same part is admitted as if nothing had happened. Change: a quarantine in the admission reducer. Evidence is a target that closes the connection of a request before any output; parts that were answered since, or within the last minute, are sound. Requests with a part that explains the crash are refused with the time that is left as Retry-After, waiting ones too, and running ones leave their targets. Holds end: 1 min for the only explanation, doubled by each further crash, 5 s for weak evidence; then one request at a time shows whether the part is sound. Output of the target after the crash refutes it. Evidence is exchanged between entries with ages, once a change, bounded to 64 crashes of 64 parts; each change is logged and counted. Measured: the regression test fails on the parent (a sound caller got 503 after the first crashes).

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -174,7 +174,7 @@
 	}
 	a.timeToFirst = now.Sub(a.began)
 	a.router.metrics.timeToFirst.RecordDuration(now.Sub(a.exchange.began))
-	a.router.core.HandleEvent(admission.AttemptResult{Service: a.service, Target: a.target.ID, Outcome: admission.Good, TimeToFirstOutput: a.timeToFirst})
+	a.router.core.HandleEvent(admission.AttemptResult{ID: a.id, Service: a.service, Target: a.target.ID, Incarnation: a.target.Incarnation, Outcome: admission.Good, TimeToFirstOutput: a.timeToFirst})
 	if resumed {
 		events.Log(a.logger, events.StreamResumed, log.Fields{"target": a.target.ID, "after": a.lastEvent, "id": id})
 		return
@@ -243,5 +243,8 @@
 	if a.route.Kind == fleet.Stream {
 		timeToFirst = 0 // It was reported with the first event.
 	}
-	a.router.core.HandleEvent(admission.AttemptResult{Service: a.service, Target: a.target.ID, Outcome: outcome, TimeToFirstOutput: timeToFirst})
+	a.router.core.HandleEvent(admission.AttemptResult{
+		ID: a.id, Service: a.service, Target: a.target.ID, Incarnation: a.target.Incarnation, Outcome: outcome, TimeToFirstOutput: timeToFirst,
+		Lost: outcome == admission.Broken && a.timeToFirst == 0 && target.ClosedByTarget(cause), Begun: a.begun,
+	})
 }
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -90,7 +90,7 @@
 	x.id, x.decisions = x.router.core.Submit(admission.Request{
 		Service: x.service, Organisation: x.organisation, Priority: x.priority,
 		Objective: x.route.Objective, Elapsed: elapsed, Deadline: x.deadline,
-		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(),
+		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(), SharedParts: x.headers.SharedParts,
 	})
 	defer x.router.core.Finish(x.id)
 	for {
@@ -125,6 +125,8 @@
 	switch {
 	case x.started:
 		x.abort("cutNotResumed")
+	case x.mayHaveRun && r.Reason == admission.Quarantined:
+		x.fail(http.StatusBadGateway, r.Reason.String())
 	case x.mayHaveRun && !x.route.Repeatable():
 		x.fail(http.StatusBadGateway, "mayHaveRun")
 	case x.mayHaveRun:
--- a/router/caller/metrics.go
+++ b/router/caller/metrics.go
@@ -31,3 +31,8 @@
 	tagged.Counter("requests").Inc(1)
 	tagged.Histogram("request", latencyBuckets).RecordDuration(took)
 }
+
+// recordQuarantine counts a change of the quarantine by its kind.
+func (m metrics) recordQuarantine(change string) {
+	m.scope.Tagged(map[string]string{"change": change}).Counter("quarantine_changes").Inc(1)
+}
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -83,11 +83,13 @@
 // NewRouter returns a router that Serve starts.
 func NewRouter(options Options, logger log.Interface) *Router {
 	logger = logger.WithField("instance", options.Instance)
-	r := &Router{
+	var r *Router
+	r = &Router{
 		options: options, logger: logger, store: platform.NewStore(options.Store),
 		core: core.New(core.Options{
-			DataCentre: options.DataCentre, Logger: logger,
-			RetryBudget: admission.RetryBudget{Ratio: options.RetryRatio, Slack: options.RetrySlack},
+			Instance: options.Instance, DataCentre: options.DataCentre, Logger: logger,
+			RetryBudget:       admission.RetryBudget{Ratio: options.RetryRatio, Slack: options.RetrySlack},
+			QuarantineChanged: func(c admission.QuarantineChanged) { r.quarantineChanged(c) },
 		}),
 		self: fleet.Instance{
 			Name: options.Instance, DataCentre: options.DataCentre, Region: options.Region,
@@ -100,6 +102,12 @@
 	return r
 }
 
+// quarantineChanged counts a change of the quarantine and sends it to the other instances.
+func (r *Router) quarantineChanged(c admission.QuarantineChanged) {
+	r.metrics.recordQuarantine(c.Change.String())
+	r.entries.Broadcast()
+}
+
 // reload applies changed settings; if they are invalid, the old ones stay in force.
 func (r *Router) reload() {
 	fresh, err := r.options.Reread()
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -354,6 +355,57 @@
 	d.Assert(platformtest.Attempt(a.header), qt.Equals, "a")
 }
 
+// Requests that share one part of their prompt crash each target that begins to answer
+// them.
+func TestRequestsThatCrashTargetsStopReachingThem(t *testing.T) {
+	handlers := make(map[string]platformtest.Handler)
+	var d *deployment
+	var mutex sync.Mutex
+	for i := range 8 {
+		id := "i-" + strconv.Itoa(i)
+		handlers[id] = func(w *platformtest.ResponseWriter, r platformtest.Run) {
+			if !strings.Contains(r.Prompt, "bad:") {
+				streamEvents(1, 2)(w, r)
+				return
+			}
+			w.StartStream()
+			time.Sleep(5 * time.Millisecond) // The head of the response arrives first.
+			mutex.Lock()
+			defer mutex.Unlock()
+			d.replicas[id].Close()
+		}
+	}
+	mutex.Lock()
+	d = deploy(t, 2, handlers)
+	mutex.Unlock()
+	d.eventually("both instances know each other", func() bool {
+		for _, r := range d.routers {
+			if len(r.entries.Callers()) != len(d.routers) {
+				return false
+			}
+		}
+		return true
+	})
+	const requests = 20
+	for i := range requests {
+		own := strconv.Itoa(i)
+		d.Assert(d.mustCall(platformtest.Call{Path: streamPath, Attempt: "sound-" + own, Prompt: "shared:40,own" + own + ":5"}).status, qt.Equals, http.StatusOK)
+		bad := d.mustCall(platformtest.Call{Path: streamPath, Attempt: "bad-" + own, Prompt: "shared:40,bad:9,own" + own + ":5"})
+		if bad.status != http.StatusBadGateway { // 502 does not say that the request has not run.
+			d.Assert(bad.status, qt.Equals, http.StatusServiceUnavailable)
+			d.Assert(platformtest.RetryAfter(bad.header), qt.Not(qt.Equals), "")
+		}
+		d.routers[0], d.routers[1] = d.routers[1], d.routers[0] // Callers use both instances.
+	}
+	reached := 0
+	for _, r := range d.runs() {
+		if strings.Contains(r.Prompt, "bad:") {
+			reached++
+		}
+	}
+	d.Assert(reached, qt.Equals, 1)
+}
+
 // While a whole group of ranks is stalled, another rank would not respond sooner:
 // requests stay at their targets and receive late responses, without further attempts.
 func TestStalledGroupIsNotRetried(t *testing.T) {
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -34,9 +34,13 @@
 
 // Options configures a Core.
 type Options struct {
+	Instance    string
 	DataCentre  string
 	RetryBudget admission.RetryBudget
 	Logger      log.Interface
+	// QuarantineChanged is called, while the core is locked, when the evidence of crashes
+	// changes.
+	QuarantineChanged func(admission.QuarantineChanged)
 }
 
 // Decisions delivers the decisions on one request.
@@ -80,7 +84,7 @@
 func New(o Options) *Core {
 	c := &Core{
 		options: o, entryCount: 1,
-		admission:     admission.New(o.DataCentre, o.RetryBudget),
+		admission:     admission.New(o.Instance, o.DataCentre, o.RetryBudget),
 		directory:     fleet.NewDirectory(),
 		changeOffsets: make(map[fleet.Topic]map[string]int64),
 		requests:      make(map[admission.RequestID]decisionSenders),
@@ -152,6 +156,12 @@
 				senders.moveRequested <- struct{}{}
 			}
 			continue
+		case admission.QuarantineChanged:
+			c.logQuarantine(now, d)
+			if c.options.QuarantineChanged != nil {
+				c.options.QuarantineChanged(d)
+			}
+			continue
 		}
 		if senders, ok := c.requests[id]; ok {
 			senders.next <- effect
@@ -159,6 +169,26 @@
 	}
 }
 
+func (c *Core) logQuarantine(now time.Time, q admission.QuarantineChanged) {
+	events.Log(c.options.Logger, events.QuarantineChanged, log.Fields{
+		"change": q.Change.String(), "target": q.Report.Target, "incarnation": q.Report.Incarnation,
+		"age": now.Sub(q.Report.At).String(), "reporter": q.Report.Reporter,
+		"begun": q.Report.Begun, "waiting": q.Report.Waiting, "parts": q.Parts, "hold": q.Hold.String(),
+	})
+}
+
+// CrashEvidence returns what other instances must know about crashes, and its version.
+// If the version is not newer than the given one, there is nothing new and no evidence is
+// returned.
+func (c *Core) CrashEvidence(since uint64) (admission.CrashEvidence, uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if version := c.admission.QuarantineVersion(); version == since {
+		return admission.CrashEvidence{}, version
+	}
+	return c.admission.CrashEvidence()
+}
+
 // Running returns the number of requests that this instance runs on each target.
 func (c *Core) Running() map[string]int {
 	c.mutex.Lock()
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -41,6 +41,9 @@
 	Running() map[string]int
 	End(topic fleet.Topic) int64
 	ChangedSince(topic fleet.Topic, from int64) []fleet.Record
+	// CrashEvidence returns the evidence of crashes and its version, without the evidence
+	// if the version is not newer than the given one.
+	CrashEvidence(since uint64) (admission.CrashEvidence, uint64)
 	SetEntryCount(count int)
 }
 
@@ -75,6 +78,7 @@
 	fencingToken uint64                // Its token as the leader; 0 if it is not.
 	unable       bool                  // Its last claim of leadership did not reach the store.
 	ends         map[fleet.Topic]int64 // The offsets up to which it has read the topics.
+	evidence     uint64                // The version of the crash evidence sent over the link.
 	cancel       context.CancelFunc    // Closes the link to it.
 	wake         chan struct{}         // Requests a state message at once.
 }
@@ -169,6 +173,7 @@
 		return // Watch reports an unreachable instance after livenessTimeout.
 	}
 	defer link.Close()
+	mb.evidence = 0 // What was sent over an earlier link may be lost.
 	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Entry{Entry: m.stateFor(mb)}})
 	if err != nil {
 		return
@@ -206,6 +211,7 @@
 	for target, running := range m.core.Running() {
 		state.Running[target] = int32(running)
 	}
+	m.addCrashEvidence(state, mb)
 	if received {
 		records := append(m.core.ChangedSince(fleet.OperatorTopic, operatorEnd), m.core.ChangedSince(fleet.TargetTopic, targetEnd)...)
 		for _, r := range records {
@@ -217,6 +223,45 @@
 	return state
 }
 
+// addCrashEvidence adds the evidence of crashes that is new to an instance to a state
+// message for it.
+func (m *Membership) addCrashEvidence(state *peer.EntryUpdate, mb *member) {
+	var evidence admission.CrashEvidence
+	evidence, mb.evidence = m.core.CrashEvidence(mb.evidence)
+	now := time.Now()
+	for _, r := range evidence.Reports {
+		state.Crashes = append(state.Crashes, &peer.CrashReport{
+			Target: r.Target, Incarnation: r.Incarnation, AgeMs: now.Sub(r.At).Milliseconds(), Reporter: r.Reporter,
+			Begun: r.Begun, Waiting: r.Waiting, Refuted: r.Refuted,
+		})
+	}
+	if len(evidence.Sound) > 0 {
+		state.SoundAges = make(map[string]int64, len(evidence.Sound))
+	}
+	for part, at := range evidence.Sound {
+		state.SoundAges[part] = now.Sub(at).Milliseconds()
+	}
+}
+
+// applyCrashEvidence applies another instance's evidence of crashes.
+func (m *Membership) applyCrashEvidence(state *peer.EntryUpdate) {
+	if len(state.GetCrashes()) == 0 {
+		return
+	}
+	now := time.Now()
+	evidence := admission.CrashEvidence{Sound: make(map[string]time.Time, len(state.GetSoundAges()))}
+	for _, r := range state.GetCrashes() {
+		evidence.Reports = append(evidence.Reports, admission.CrashReport{
+			Target: r.GetTarget(), Incarnation: r.GetIncarnation(), At: now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
+			Reporter: r.GetReporter(), Begun: r.GetBegun(), Waiting: r.GetWaiting(), Refuted: r.GetRefuted(),
+		})
+	}
+	for part, age := range state.GetSoundAges() {
+		evidence.Sound[part] = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	m.core.HandleEvent(evidence)
+}
+
 // Serve applies the state messages of one instance until its link ends.
 func (m *Membership) Serve(ctx context.Context, first *peer.EntryUpdate, stream *peer.Stream) {
 	state := first
@@ -315,6 +360,7 @@
 	for target, count := range state.GetRunning() {
 		running[target] = int(count)
 	}
+	m.applyCrashEvidence(state)
 	m.core.HandleEvent(admission.GroupReport{Instance: state.GetInstance(), Closed: state.GetClosed(), Paces: state.GetPaces()})
 	m.core.HandleEvent(admission.PeerLoad{Peer: state.GetInstance(), Running: running})
 }
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -23,6 +23,9 @@
 func (emptyCore) End(fleet.Topic) int64                          { return 0 }
 func (emptyCore) ChangedSince(fleet.Topic, int64) []fleet.Record { return nil }
 func (emptyCore) SetEntryCount(int)                              {}
+func (emptyCore) CrashEvidence(uint64) (admission.CrashEvidence, uint64) {
+	return admission.CrashEvidence{}, 0
+}
 
 // newMembership returns the membership of an instance that has applied the state
 // messages of others.
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"chervilswitch.example/platform"
@@ -35,6 +36,12 @@
 	errStray = errors.New("target sent only responses to other requests")
 )
 
+// ClosedByTarget reports whether an error means that the target closed or reset the
+// connection, other than a timeout.
+func ClosedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Request is the HTTP request of one attempt at a target.
 type Request struct {
 	Method string
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -31,6 +31,8 @@
 	MaxAttempts int
 	// Movable is true if the request can continue at another target while it runs.
 	Movable bool
+	// SharedParts lists the parts of the prompt that other requests may contain as well.
+	SharedParts []string
 }
 
 // Event is an input of the reducer.
@@ -55,8 +57,13 @@
 
 // AttemptResult reports the outcome of an attempt on a target.
 type AttemptResult struct {
+	ID              RequestID
 	Service, Target string
+	Incarnation     uint64
 	Outcome         Outcome
+	// Lost is true if the target closed the connection before it sent any output, and
+	// Begun if the response had begun by then.
+	Lost, Begun bool
 	// TimeToFirstOutput is 0 if there was no output, or if it was reported before.
 	TimeToFirstOutput time.Duration
 }
@@ -194,11 +201,13 @@
 	NoAttempts
 	// GroupClosed means that a group of the service waits for a missing rank.
 	GroupClosed
+	// Quarantined means that a part of the prompt is suspected to crash targets.
+	Quarantined
 )
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
-	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed"}[r]
+	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed", "quarantined"}[r]
 }
 
 func (Dispatch) effect() {}
--- a/shared/admission/group_test.go
+++ b/shared/admission/group_test.go
@@ -17,7 +17,7 @@
 	for _, id := range ranks {
 		update.Targets = append(update.Targets, fleet.Target{ID: id, Service: testService, Group: "g", Slots: slots})
 	}
-	st := New("a", RetryBudget{Ratio: 0.2, Slack: 92})
+	st := New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 92})
 	st.Reduce(now, update)
 	return st
 }
--- a/shared/admission/limits_test.go
+++ b/shared/admission/limits_test.go
@@ -15,7 +15,7 @@
 func newStates(entries int, service fleet.Service, targets ...fleet.Target) []*State {
 	var states []*State
 	for range entries {
-		st := New("a", RetryBudget{Ratio: 0.2, Slack: 92})
+		st := New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 92})
 		st.Reduce(time.Unix(50, 0), ServiceTargets{Service: service, Targets: targets, EntryCount: entries})
 		states = append(states, st)
 	}
@@ -125,7 +125,7 @@
 // 24, and peers that each run requests on some of them.
 func largeState(targets, peers int) *State {
 	engine := testEngine()
-	st := New("a", RetryBudget{Ratio: 0.2, Slack: 234})
+	st := New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 234})
 	all := ServiceTargets{Service: fleet.Service{Name: testService, Engine: &engine}, EntryCount: peers + 1}
 	for i := range targets {
 		all.Targets = append(all.Targets, fleet.Target{ID: fmt.Sprintf("r%03d", i), Service: testService, Group: fmt.Sprint(i / 24), Slots: 10})
--- a/shared/admission/load_test.go
+++ b/shared/admission/load_test.go
@@ -127,7 +127,7 @@
 	c := qt.New(t)
 	now := time.Unix(100, 0)
 	engine := testEngine()
-	st := New("a", RetryBudget{Ratio: 0.2, Slack: 92})
+	st := New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 92})
 	one := []fleet.Target{{ID: "r1", Service: testService, Group: "g", Slots: 12}}
 	service := fleet.Service{Name: testService, Engine: &engine}
 	st.Reduce(now, ServiceTargets{Service: service, EntryCount: 1, Targets: one})
--- /dev/null
+++ b/shared/admission/quarantine.go
@@ -0,0 +1,414 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// soundWindow is how long a part that was answered counts as sound at a crash.
+	soundWindow = time.Minute
+	// shortHold is the hold of parts with weak evidence. After it, single requests with
+	// such a part show whether the part is sound.
+	shortHold = 5 * time.Second
+	// baseHold is the hold of the only part that explains a crash. It doubles with each
+	// further crash, up to maxHold.
+	baseHold = time.Minute
+	maxHold  = 5 * time.Minute
+	// evidenceAge is the age at which a crash is forgotten.
+	evidenceAge = 10 * time.Minute
+	// reporterLead is how much earlier the reporter of a crash tries a part again than
+	// the other instances.
+	reporterLead = 10 * time.Second
+	// trialRetryAfter applies while another request with the same part is on trial.
+	trialRetryAfter = 500 * time.Millisecond
+	// refuteAfter is the time after a crash from which output of the target shows that
+	// it did not crash. Until then, output may have been on its way.
+	refuteAfter = 300 * time.Millisecond
+	// restartTime is the shortest time in which a crashed target can be back.
+	restartTime = time.Second
+	// maxCrashes bounds the crashes that are remembered, and maxCrashParts the parts of
+	// one crash.
+	maxCrashes    = 64
+	maxCrashParts = 64
+	// maxSoundParts bounds the parts of each generation of soundParts.
+	maxSoundParts = 4096
+)
+
+// CrashReport describes a target that lost the connections of requests before it sent any
+// output for them. One of their parts may have crashed it.
+type CrashReport struct {
+	Target      string
+	Incarnation uint64
+	At          time.Time
+	// Reporter is the entry instance that lost the requests.
+	Reporter string
+	// Begun and Waiting list the shared parts of the lost requests: those whose response
+	// had begun, and all others.
+	Begun, Waiting []string
+	// Refuted is true if the target sent output after the crash, so that there was none.
+	Refuted bool
+}
+
+// suspects returns the parts that may have crashed the target. A target begins a response
+// before it crashes, so requests that only waited are suspected if there are no others.
+func (r *CrashReport) suspects() []string {
+	if len(r.Begun) > 0 {
+		return r.Begun
+	}
+	return r.Waiting
+}
+
+// CrashEvidence reports what another entry instance knows about crashes.
+type CrashEvidence struct {
+	Reports []CrashReport
+	// Sound holds when the instance last received output for parts that are suspected.
+	Sound map[string]time.Time
+}
+
+// QuarantineChanged reports a change of the parts whose requests are refused.
+type QuarantineChanged struct {
+	Report CrashReport
+	Change QuarantineChange
+	// Parts lists the parts that are refused because of the crash, and Hold for how long
+	// after it.
+	Parts []string
+	Hold  time.Duration
+}
+
+// QuarantineChange is the kind of a change of the quarantine.
+type QuarantineChange int
+
+// Kinds of changes of the quarantine.
+const (
+	// CrashReported means that a crash became known, or more about it.
+	CrashReported QuarantineChange = iota
+	// CrashRefuted means that the target was seen to work after the supposed crash.
+	CrashRefuted
+	// PartCleared means that a target sent output for the parts after the crash.
+	PartCleared
+)
+
+// String returns the change's name in logs.
+func (c QuarantineChange) String() string {
+	return [...]string{"reported", "refuted", "cleared"}[c]
+}
+
+func (CrashEvidence) event()      {}
+func (QuarantineChanged) effect() {}
+
+// quarantine decides which requests are refused because a part of their prompt crashes
+// targets. Its evidence consists of crashes and of the parts that were answered; what
+// follows from it is computed when it is needed.
+type quarantine struct {
+	instance string
+	crashes  []*CrashReport // By time, oldest first.
+	sound    soundParts
+	// peerSound holds when other instances last received output for suspected parts.
+	peerSound map[string]time.Time
+	// version increases with each change of what the other instances must know.
+	version uint64
+}
+
+// active reports whether any crash is remembered.
+func (q *quarantine) active() bool { return len(q.crashes) > 0 }
+
+// lastSound returns when a part was last answered; zero if that is not known.
+func (q *quarantine) lastSound(part string) time.Time {
+	own, peers := q.sound.at(part), q.peerSound[part]
+	if peers.After(own) {
+		return peers
+	}
+	return own
+}
+
+// candidates returns the parts that explain a crash: those that were not answered after
+// it, nor shortly before it. If there are none, a part that was answered before may have
+// become harmful; then it must have been lost in an earlier crash as well, and not have
+// been answered since.
+func (q *quarantine) candidates(c *CrashReport) (parts []string, repeated bool) {
+	if c.Refuted {
+		return nil, false
+	}
+	var again []string
+	for _, part := range c.suspects() {
+		sound := q.lastSound(part)
+		switch {
+		case sound.After(c.At):
+		case sound.Before(c.At.Add(-soundWindow)):
+			parts = append(parts, part)
+		case q.offences(part) > 1:
+			again = append(again, part)
+		}
+	}
+	if len(parts) > 0 {
+		return parts, false
+	}
+	return again, true
+}
+
+// offences counts the crashes that a part may have caused since it was last answered.
+// Crashes within shortHold of each other count once, as their requests ran together.
+func (q *quarantine) offences(part string) int {
+	count, last, sound := 0, time.Time{}, q.lastSound(part)
+	for _, c := range q.crashes {
+		if c.Refuted || !c.At.After(sound) || !slices.Contains(c.suspects(), part) {
+			continue
+		}
+		if last.IsZero() || c.At.Sub(last) > shortHold {
+			count, last = count+1, c.At
+		}
+	}
+	return count
+}
+
+// hold returns how long after a crash requests with a number of its candidates are
+// refused. Evidence is weak if several parts may have caused the crash and a request
+// contains one of them, or if a part was lost for the first time and its response had not
+// begun.
+func (q *quarantine) hold(c *CrashReport, candidates []string, repeated bool, matched []string) time.Duration {
+	offences := 0
+	for _, part := range matched {
+		offences = max(offences, q.offences(part))
+	}
+	if repeated || len(c.Begun) == 0 {
+		offences--
+	}
+	if offences < 1 || len(candidates) > 1 && len(matched) == 1 {
+		return shortHold
+	}
+	return min(maxHold, baseHold<<min(offences-1, 8))
+}
+
+// verdict is the decision on requests with certain parts.
+type verdict struct {
+	// until is when the parts are admitted again; zero if they are not refused.
+	until time.Time
+	// certain is true if the evidence is strong enough to end running requests.
+	certain bool
+	// onTrial lists parts that are admitted one request at a time.
+	onTrial []string
+}
+
+// judge returns the verdict on requests that contain the parts.
+func (q *quarantine) judge(at time.Time, parts []string) (v verdict) {
+	if len(parts) == 0 {
+		return v
+	}
+	for _, c := range q.crashes {
+		if !containsAny(c.suspects(), parts) {
+			continue
+		}
+		candidates, repeated := q.candidates(c)
+		var matched []string
+		for _, part := range candidates {
+			if slices.Contains(parts, part) {
+				matched = append(matched, part)
+			}
+		}
+		if len(matched) == 0 {
+			continue
+		}
+		hold := q.hold(c, candidates, repeated, matched)
+		until := c.At.Add(hold)
+		if hold > shortHold && c.Reporter != q.instance {
+			until = until.Add(reporterLead)
+		}
+		if !at.Before(until) {
+			v.onTrial = append(v.onTrial, matched...)
+			continue
+		}
+		if until.After(v.until) {
+			v.until = until
+		}
+		v.certain = v.certain || hold > shortHold
+	}
+	return v
+}
+
+// recordSound notes that a target answered the parts. It returns a change for each crash
+// that they no longer explain.
+func (q *quarantine) recordSound(at time.Time, parts []string) []Effect {
+	var effects []Effect
+	for _, c := range q.crashes {
+		if !containsAny(c.suspects(), parts) {
+			continue
+		}
+		candidates, _ := q.candidates(c)
+		cleared := slices.DeleteFunc(candidates, func(part string) bool { return !slices.Contains(parts, part) })
+		if len(cleared) > 0 {
+			effects = append(effects, QuarantineChanged{Report: *c, Change: PartCleared, Parts: cleared})
+			q.version++
+		}
+	}
+	for _, part := range parts {
+		q.sound.record(at, part)
+	}
+	return effects
+}
+
+// recordOutput notes that a target sent output at a time for a request that began at
+// another, which shows that it has not crashed in between.
+func (q *quarantine) recordOutput(at, began time.Time, t *target) []Effect {
+	var effects []Effect
+	for _, c := range q.crashes {
+		if c.Refuted || c.Target != t.ID || c.Incarnation != t.Incarnation {
+			continue
+		}
+		since := at.Sub(c.At)
+		if since > refuteAfter && (began.Before(c.At) || since < restartTime) {
+			c.Refuted = true
+			q.version++
+			effects = append(effects, QuarantineChanged{Report: *c, Change: CrashRefuted})
+		}
+	}
+	return effects
+}
+
+// recordCrash adds evidence of a crash, or merges it with what is known about the same
+// crash. It returns a change if there was anything new.
+func (q *quarantine) recordCrash(r CrashReport) []Effect {
+	c := q.find(r)
+	if c == nil {
+		r.Begun, r.Waiting = union(nil, r.Begun), union(nil, r.Waiting)
+		c = &r
+		q.crashes = append(q.crashes, c)
+	} else if !c.merge(r) {
+		return nil
+	}
+	slices.SortStableFunc(q.crashes, func(a, b *CrashReport) int { return a.At.Compare(b.At) })
+	if extra := len(q.crashes) - maxCrashes; extra > 0 {
+		q.crashes = slices.Delete(q.crashes, 0, extra)
+	}
+	q.version++
+	change := QuarantineChanged{Report: *c, Change: CrashReported}
+	if c.Refuted {
+		change.Change = CrashRefuted
+	}
+	var repeated bool
+	if change.Parts, repeated = q.candidates(c); len(change.Parts) > 0 {
+		change.Hold = q.hold(c, change.Parts, repeated, change.Parts[:1])
+	}
+	return []Effect{change}
+}
+
+// find returns the known report on the same crash, or nil.
+func (q *quarantine) find(r CrashReport) *CrashReport {
+	for _, c := range q.crashes {
+		if c.Target == r.Target && c.Incarnation == r.Incarnation && c.At.Sub(r.At).Abs() < shortHold {
+			return c
+		}
+	}
+	return nil
+}
+
+// merge adds another report on the same crash and reports whether it says anything new.
+func (r *CrashReport) merge(other CrashReport) bool {
+	begun, waiting := len(r.Begun), len(r.Waiting)
+	reporter, refuted := r.Reporter, r.Refuted
+	switch {
+	case begun == 0 && len(other.Begun) > 0:
+		r.Reporter = other.Reporter
+	case begun == 0 || len(other.Begun) > 0:
+		r.Reporter = min(r.Reporter, other.Reporter)
+	}
+	r.Begun, r.Waiting = union(r.Begun, other.Begun), union(r.Waiting, other.Waiting)
+	r.Refuted = r.Refuted || other.Refuted
+	if other.At.Before(r.At) {
+		r.At = other.At
+	}
+	// An earlier time alone is not news: it comes from the delay of messages.
+	return len(r.Begun) > begun || len(r.Waiting) > waiting || r.Refuted != refuted || r.Reporter != reporter
+}
+
+// containsAny reports whether a list contains any of the parts.
+func containsAny(list, parts []string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return slices.Contains(list, part) })
+}
+
+// union adds the parts of b that a lacks, up to maxCrashParts.
+func union(a, b []string) []string {
+	for _, part := range b {
+		if len(a) < maxCrashParts && !slices.Contains(a, part) {
+			a = append(a, part)
+		}
+	}
+	return a
+}
+
+// applyEvidence merges the evidence of another instance.
+func (q *quarantine) applyEvidence(at time.Time, e CrashEvidence) []Effect {
+	var effects []Effect
+	for _, r := range e.Reports {
+		if at.Sub(r.At) < evidenceAge {
+			effects = append(effects, q.recordCrash(r)...)
+		}
+	}
+	for part, sound := range e.Sound {
+		if q.suspected(part) && sound.After(q.peerSound[part]) {
+			if q.peerSound == nil {
+				q.peerSound = make(map[string]time.Time)
+			}
+			q.peerSound[part] = sound
+		}
+	}
+	return effects
+}
+
+// suspected reports whether any remembered crash names a part.
+func (q *quarantine) suspected(part string) bool {
+	return slices.ContainsFunc(q.crashes, func(c *CrashReport) bool {
+		return slices.Contains(c.Begun, part) || slices.Contains(c.Waiting, part)
+	})
+}
+
+// forget removes crashes whose evidence is old, and what is known about their parts.
+func (q *quarantine) forget(at time.Time) {
+	if !q.active() || at.Sub(q.crashes[0].At) < evidenceAge {
+		return
+	}
+	q.crashes = slices.DeleteFunc(q.crashes, func(c *CrashReport) bool { return at.Sub(c.At) >= evidenceAge })
+	for part := range q.peerSound {
+		if !q.suspected(part) {
+			delete(q.peerSound, part)
+		}
+	}
+}
+
+// evidence returns what the other instances must know.
+func (q *quarantine) evidence() CrashEvidence {
+	e := CrashEvidence{Sound: make(map[string]time.Time)}
+	for _, c := range q.crashes {
+		e.Reports = append(e.Reports, *c)
+		for _, part := range slices.Concat(c.Begun, c.Waiting) {
+			// Only own observations are sent: ages grow by the delay of each message.
+			if sound := q.sound.at(part); !sound.IsZero() {
+				e.Sound[part] = sound
+			}
+		}
+	}
+	return e
+}
+
+// soundParts remembers when parts were last answered, in two generations of at most
+// maxSoundParts parts. The zero value is empty.
+type soundParts struct {
+	current, previous map[string]time.Time
+}
+
+// record notes that a part was answered. When the current generation is full, it replaces
+// the previous one.
+func (s *soundParts) record(at time.Time, part string) {
+	if s.current == nil || len(s.current) >= maxSoundParts {
+		s.previous, s.current = s.current, make(map[string]time.Time)
+	}
+	s.current[part] = at
+}
+
+// at returns when a part was last answered; zero if that is not known.
+func (s *soundParts) at(part string) time.Time {
+	if at, ok := s.current[part]; ok {
+		return at
+	}
+	return s.previous[part]
+}
--- /dev/null
+++ b/shared/admission/quarantine_test.go
@@ -0,0 +1,312 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"chervilswitch.example/shared/fleet"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// prompts plays requests with parts against one instance's reducer with plenty of targets.
+type prompts struct {
+	*qt.C
+	state *State
+	now   time.Time
+	next  RequestID
+	// targets holds the target of each running request.
+	targets map[RequestID]string
+	changes []QuarantineChanged
+	moved   []RequestID
+}
+
+func newPrompts(t *testing.T, instance string) *prompts {
+	p := &prompts{C: qt.New(t), state: New(instance, "a", RetryBudget{Ratio: 0.2, Slack: 92}), now: time.Unix(1000, 0), targets: make(map[RequestID]string)}
+	update := ServiceTargets{Service: fleet.Service{Name: testService}, EntryCount: 1}
+	for i := range 20 {
+		update.Targets = append(update.Targets, fleet.Target{ID: fmt.Sprintf("t%02d", i), Service: testService, Slots: 100, Incarnation: 1})
+	}
+	p.reduce(update)
+	return p
+}
+
+func (p *prompts) reduce(e Event) []Effect {
+	effects := p.state.Reduce(p.now, e)
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Dispatch:
+			p.targets[e.ID] = e.Target.ID
+		case QuarantineChanged:
+			p.changes = append(p.changes, e)
+		case Move:
+			p.moved = append(p.moved, e.ID)
+		}
+	}
+	return effects
+}
+
+// submit returns the id of a new request, and its refusal if it is refused.
+func (p *prompts) submit(parts ...string) (RequestID, *Refuse) {
+	p.next++
+	effects := p.reduce(Submit{Request: Request{
+		ID: p.next, Service: testService, MaxAttempts: 2, Deadline: p.now.Add(8 * time.Second), Movable: true, SharedParts: parts,
+	}})
+	for _, effect := range effects {
+		if r, ok := effect.(Refuse); ok {
+			return p.next, &r
+		}
+	}
+	return p.next, nil
+}
+
+func (p *prompts) admitted(parts ...string) bool {
+	id, refused := p.submit(parts...)
+	p.reduce(Finish{ID: id})
+	return refused == nil
+}
+
+// answer submits a request that a target answers.
+func (p *prompts) answer(parts ...string) {
+	id, refused := p.submit(parts...)
+	p.Assert(refused, qt.IsNil)
+	p.output(id)
+	p.reduce(Finish{ID: id})
+}
+
+func (p *prompts) output(id RequestID) {
+	p.now = p.now.Add(100 * time.Millisecond)
+	p.reduce(AttemptResult{ID: id, Service: testService, Target: p.targets[id], Incarnation: 1, TimeToFirstOutput: 100 * time.Millisecond})
+}
+
+// lose reports that a request's target closed the connection without output.
+func (p *prompts) lose(id RequestID, begun bool) []Effect {
+	p.reduce(AttemptResult{ID: id, Service: testService, Target: p.targets[id], Incarnation: 1, Outcome: Broken, Lost: true, Begun: begun})
+	return p.reduce(Retry{ID: id, MayHaveRun: true})
+}
+
+// crash submits a request that crashes its target.
+func (p *prompts) crash(parts ...string) {
+	id, refused := p.submit(parts...)
+	p.Assert(refused, qt.IsNil)
+	p.now = p.now.Add(100 * time.Millisecond)
+	p.lose(id, true)
+}
+
+func TestPartThatCrashedATargetIsRefused(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	p.answer("shared")
+	id, _ := p.submit("shared", "bad")
+	effects := p.lose(id, true)
+	refused, ok := effects[0].(Refuse) // The request itself is not sent again.
+	p.Assert(ok, qt.IsTrue)
+	p.Assert(refused.Reason, qt.Equals, Quarantined)
+	_, again := p.submit("shared", "bad")
+	p.Assert(again, qt.IsNotNil)
+	p.Assert(again.RetryAfter, qt.Equals, baseHold)
+	p.Assert(p.admitted("shared"), qt.IsTrue)
+	p.Assert(p.admitted("other"), qt.IsTrue)
+	p.Assert(p.admitted(), qt.IsTrue)
+}
+
+func TestWaitingAndRunningRequestsLeaveWithTheirPart(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	p.answer("shared")
+	running, _ := p.submit("shared", "bad")
+	sound, _ := p.submit("shared")
+	p.crash("shared", "bad")
+	p.Assert(p.moved, qt.DeepEquals, []RequestID{running})
+	effects := p.reduce(Retry{ID: running, MayHaveRun: true})
+	p.Assert(effects[0].(Refuse).Reason, qt.Equals, Quarantined)
+	p.Assert(p.targets[sound], qt.Not(qt.Equals), "")
+}
+
+func TestPartsAnsweredAfterTheCrashAreCleared(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	running, _ := p.submit("new")
+	p.crash("new", "bad")
+	p.Assert(p.admitted("new"), qt.IsFalse)
+	p.output(running)
+	p.Assert(p.admitted("new"), qt.IsTrue)
+	p.Assert(p.admitted("new", "bad"), qt.IsFalse)
+	_, refused := p.submit("bad")
+	p.Assert(refused.RetryAfter > baseHold-time.Second, qt.IsTrue) // The only part that is left.
+	last := p.changes[len(p.changes)-1]
+	p.Assert(last.Change, qt.Equals, PartCleared)
+	p.Assert(last.Parts, qt.DeepEquals, []string{"new"})
+}
+
+func TestTargetThatSendsOutputHasNotCrashed(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	id, _ := p.submit("first")
+	target := p.targets[id]
+	p.lose(id, true)
+	p.Assert(p.admitted("first"), qt.IsFalse)
+	p.now = p.now.Add(100 * time.Millisecond) // Output may have been on its way.
+	p.reduce(StreamGap{Service: testService, Target: target, Gap: 150 * time.Millisecond})
+	p.Assert(p.admitted("first"), qt.IsFalse)
+	p.now = p.now.Add(refuteAfter)
+	p.reduce(StreamGap{Service: testService, Target: target, Gap: 100 * time.Millisecond})
+	p.Assert(p.admitted("first"), qt.IsTrue)
+	p.Assert(p.changes[len(p.changes)-1].Change, qt.Equals, CrashRefuted)
+}
+
+// A target that was restarted says nothing about the crash before.
+func TestOutputAfterARestartDoesNotRefuteTheCrash(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	id, _ := p.submit("first")
+	target := p.targets[id]
+	p.lose(id, true)
+	p.now = p.now.Add(3 * time.Second)
+	p.reduce(AttemptResult{Service: testService, Target: target, Incarnation: 1, TimeToFirstOutput: 100 * time.Millisecond})
+	p.Assert(p.admitted("first"), qt.IsFalse)
+}
+
+// A target dies of another cause while a request waits at it: the request's new part is
+// refused for a short time only, and then tried by one request at a time.
+func TestWeakEvidenceIsTriedSoon(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	id, _ := p.submit("new")
+	p.lose(id, false)
+	p.Assert(p.admitted("new"), qt.IsFalse)
+	p.now = p.now.Add(shortHold)
+	trial, refused := p.submit("new")
+	p.Assert(refused, qt.IsNil)
+	_, second := p.submit("new")
+	p.Assert(second, qt.IsNotNil)
+	p.Assert(second.RetryAfter, qt.Equals, trialRetryAfter)
+	p.output(trial)
+	p.Assert(p.admitted("new"), qt.IsTrue)
+	p.Assert(p.admitted("new"), qt.IsTrue)
+}
+
+func TestPartWithAnsweredHistoryNeedsTwoCrashes(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	p.answer("old")
+	p.crash("old")
+	p.Assert(p.admitted("old"), qt.IsTrue) // One crash may have another cause.
+	p.now = p.now.Add(shortHold + time.Second)
+	p.crash("old")
+	p.Assert(p.admitted("old"), qt.IsFalse)
+	p.now = p.now.Add(baseHold - time.Second)
+	p.Assert(p.admitted("old"), qt.IsFalse)
+}
+
+func TestOldEvidenceEndsAndHoldsGrow(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	p.crash("bad")
+	p.now = p.now.Add(baseHold)
+	p.crash("bad") // The trial.
+	_, refused := p.submit("bad")
+	p.Assert(refused.RetryAfter, qt.Equals, 2*baseHold)
+	p.now = p.now.Add(evidenceAge)
+	p.reduce(Tick{})
+	p.Assert(p.state.quarantine.active(), qt.IsFalse)
+	p.Assert(p.admitted("bad"), qt.IsTrue)
+}
+
+// While a group waits for a crashed rank, all its ranks cut their requests off.
+func TestCutsOfAStalledGroupAreNoCrashes(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	st := newGroupState(now, 12, "r1", "r2")
+	st.Reduce(now, Submit{Request: Request{ID: 1, Service: testService, MaxGap: testMaxGap, MaxAttempts: 2, Deadline: now.Add(8 * time.Second), SharedParts: []string{"new"}}})
+	now = now.Add(1500 * time.Millisecond)
+	st.Reduce(now, AttemptResult{ID: 1, Service: testService, Target: "r1", Outcome: Broken, Lost: true, Begun: true})
+	c.Assert(st.quarantine.active(), qt.IsFalse)
+}
+
+// exchangeEvidence sends each instance's evidence to the other until nothing changes, and
+// returns the number of messages.
+func exchangeEvidence(a, b *prompts) int {
+	versions := map[*prompts]uint64{}
+	for messages := 0; ; messages++ {
+		sent := false
+		for from, to := range map[*prompts]*prompts{a: b, b: a} {
+			evidence, version := from.state.CrashEvidence()
+			if version != versions[from] {
+				versions[from], sent = version, true
+				to.reduce(evidence)
+			}
+		}
+		if !sent || messages > 10 {
+			return messages
+		}
+	}
+}
+
+func TestEvidenceIsSharedByInstances(t *testing.T) {
+	a, b := newPrompts(t, "entry-a"), newPrompts(t, "entry-b")
+	b.answer("shared")
+	a.now = b.now
+	a.crash("shared", "bad")
+	b.now = a.now
+	a.Assert(a.admitted("shared"), qt.IsFalse) // Nothing is known about it here.
+	a.Assert(exchangeEvidence(a, b) < 5, qt.IsTrue)
+	for _, p := range []*prompts{a, b} {
+		p.Assert(p.admitted("shared"), qt.IsTrue)
+		_, refused := p.submit("shared", "bad")
+		p.Assert(refused, qt.IsNotNil)
+	}
+	// Only the reporter tries the part as soon as the hold has passed.
+	a.now, b.now = a.now.Add(baseHold), b.now.Add(baseHold)
+	b.Assert(b.admitted("shared", "bad"), qt.IsFalse)
+	a.Assert(a.admitted("shared", "bad"), qt.IsTrue)
+	b.now = b.now.Add(reporterLead)
+	b.Assert(b.admitted("shared", "bad"), qt.IsTrue)
+}
+
+func TestRefutationReachesOtherInstances(t *testing.T) {
+	a, b := newPrompts(t, "entry-a"), newPrompts(t, "entry-b")
+	a.crash("new")
+	b.now = a.now
+	target := a.state.quarantine.crashes[0].Target
+	exchangeEvidence(a, b)
+	b.Assert(b.admitted("new"), qt.IsFalse)
+	b.now = b.now.Add(refuteAfter + 50*time.Millisecond)
+	b.reduce(StreamGap{Service: testService, Target: target, Gap: time.Second})
+	exchangeEvidence(a, b)
+	a.Assert(a.admitted("new"), qt.IsTrue)
+	b.Assert(b.admitted("new"), qt.IsTrue)
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	for i := range 3 * maxSoundParts {
+		p.state.quarantine.recordSound(p.now, []string{fmt.Sprint(i)})
+	}
+	p.Assert(len(p.state.quarantine.sound.current)+len(p.state.quarantine.sound.previous) <= 2*maxSoundParts, qt.IsTrue)
+	for i := range 3 * maxCrashes {
+		parts := make([]string, 2*maxCrashParts)
+		for j := range parts {
+			parts[j] = fmt.Sprint(i, j)
+		}
+		for range 2 {
+			p.reduce(CrashEvidence{
+				Reports: []CrashReport{{Target: fmt.Sprint("x", i), At: p.now, Begun: parts}},
+				Sound:   map[string]time.Time{fmt.Sprint("y", i): p.now, parts[0]: p.now.Add(-time.Hour)},
+			})
+		}
+	}
+	q := &p.state.quarantine
+	p.Assert(len(q.crashes), qt.Equals, maxCrashes)
+	p.Assert(slices.MaxFunc(q.crashes, func(a, b *CrashReport) int { return len(a.Begun) - len(b.Begun) }).Begun, qt.HasLen, maxCrashParts)
+	p.Assert(len(q.peerSound) <= maxCrashes*2*maxCrashParts, qt.IsTrue)
+}
+
+func BenchmarkQuarantineJudge(b *testing.B) {
+	q := quarantine{instance: "entry-a"}
+	at := time.Unix(1000, 0)
+	for i := range maxCrashes {
+		r := CrashReport{Target: fmt.Sprint("x", i), At: at.Add(time.Duration(i) * time.Second)}
+		for j := range maxCrashParts {
+			r.Begun = append(r.Begun, fmt.Sprint(i, j))
+		}
+		q.recordCrash(r)
+	}
+	for b.Loop() {
+		q.judge(at.Add(time.Minute), []string{"none", fmt.Sprint(5, 5)})
+	}
+}
--- a/shared/admission/queue.go
+++ b/shared/admission/queue.go
@@ -21,6 +21,8 @@
 	moving bool
 	// responseStarted is true if the caller has received a part of the response.
 	responseStarted bool
+	// answered is true if a target has sent output for the request.
+	answered bool
 	// refuseAt is when the request is refused if it still waits.
 	refuseAt time.Time
 }
--- a/shared/admission/simulation_test.go
+++ b/shared/admission/simulation_test.go
@@ -105,7 +105,7 @@
 	p.start = time.Unix(5000, 0)
 	p.now = p.start
 	p.streams = make(map[RequestID]*simulatedStream)
-	p.state = New("a", RetryBudget{Ratio: 0.2, Slack: 92})
+	p.state = New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 92})
 	targets := make([]fleet.Target, p.ranks)
 	for rank := range targets {
 		targets[rank] = fleet.Target{ID: fmt.Sprintf("r%02d", rank), Service: testService, DataCentre: "a", Slots: p.engine.Slots}
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -49,11 +49,13 @@
 	requests     map[RequestID]*activeRequest
 	peerLoads    peerLoads
 	groupReports map[string]GroupReport // By reporting instance.
+	quarantine   quarantine
 }
 
-// New returns the state of an instance in a data centre.
-func New(dataCentre string, retryBudget RetryBudget) *State {
+// New returns the state of the instance with a name, in a data centre.
+func New(instance, dataCentre string, retryBudget RetryBudget) *State {
 	return &State{
+		quarantine: quarantine{instance: instance},
 		dataCentre: dataCentre, retryBudget: retryBudget, entryCount: 1,
 		services: make(map[string]*service), requests: make(map[RequestID]*activeRequest), peerLoads: newPeerLoads(),
 		groupReports: make(map[string]GroupReport),
@@ -98,6 +100,8 @@
 		delete(st.groupReports, e.Peer)
 		st.setPaces()
 		return st.dispatchAllWaiting(at)
+	case CrashEvidence:
+		return st.enforceQuarantine(at, st.quarantine.applyEvidence(at, e), 0)
 	case RetryBudgetChanged:
 		st.retryBudget = e.RetryBudget
 		return nil
@@ -170,6 +174,9 @@
 	s.maxGap = max(s.maxGap, r.MaxGap)
 	s.retryTokens.tokens += st.retryBudget.Ratio * budgetShare
 	e := &activeRequest{request: r, queuedSince: at}
+	if retryAfter := st.quarantined(at, e); retryAfter > 0 {
+		return []Effect{Refuse{ID: r.ID, RetryAfter: retryAfter, Reason: Quarantined}}
+	}
 	if len(s.targets) == 0 {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: noTargetRetryAfter, Reason: NoTarget}}
 	}
@@ -277,7 +284,10 @@
 	refuse := Refuse{ID: r.ID, RetryAfter: retryAfter(s.expectedWait(s.waiting.length)), Queued: s.waiting.length}
 	s.retryTokens.refill(at, 0, st.retryBudget.Slack*budgetShare/float64(st.entryCount))
 	defer func() { e.moving = false }()
+	quarantined := st.quarantined(at, e)
 	switch {
+	case quarantined > 0:
+		refuse.Reason, refuse.RetryAfter = Quarantined, quarantined
 	case e.attemptsRun >= e.request.MaxAttempts || e.attempts > e.request.MaxAttempts:
 		refuse.Reason = NoAttempts
 	case !e.moving && !s.retryTokens.take():
@@ -318,6 +328,7 @@
 // applyResult updates a target and its service with the result of an attempt.
 func (st *State) applyResult(at time.Time, e AttemptResult) []Effect {
 	s := st.service(e.Service)
+	effects := st.noteEvidence(at, s, e)
 	if t, ok := s.targets[e.Target]; ok {
 		t.recordResult(at, e)
 		if e.TimeToFirstOutput > 0 {
@@ -327,16 +338,99 @@
 	switch {
 	case e.Outcome == GroupDown:
 		s.pausedUntil = at.Add(groupPause)
-		return st.refuseWaiting(s)
+		return append(effects, st.refuseWaiting(s)...)
 	case e.Outcome == Good && e.TimeToFirstOutput > 0:
 		if s.timeToFirstOutput == 0 {
 			s.timeToFirstOutput = e.TimeToFirstOutput
 		}
 		s.timeToFirstOutput += time.Duration(latencyWeight * float64(e.TimeToFirstOutput-s.timeToFirstOutput))
 	}
-	return nil
+	return effects
 }
 
+// noteEvidence updates the quarantine with the result of an attempt: the target works and
+// the request's parts are sound, or the target lost the request.
+func (st *State) noteEvidence(at time.Time, s *service, e AttemptResult) []Effect {
+	var effects []Effect
+	t, known := s.targets[e.Target]
+	if known && e.TimeToFirstOutput > 0 {
+		effects = st.quarantine.recordOutput(at, at.Add(-e.TimeToFirstOutput), t)
+	}
+	r, ok := st.requests[e.ID]
+	if !ok || len(r.request.SharedParts) == 0 {
+		return effects
+	}
+	switch {
+	case e.TimeToFirstOutput > 0:
+		r.answered = true
+		return append(effects, st.quarantine.recordSound(at, r.request.SharedParts)...)
+	case !e.Lost || known && s.stalled(at, t.Group):
+		// A group that stalls cuts off the requests of all its ranks.
+		return effects
+	}
+	report := CrashReport{Target: e.Target, Incarnation: e.Incarnation, At: at, Reporter: st.quarantine.instance, Waiting: r.request.SharedParts}
+	if e.Begun {
+		report.Begun, report.Waiting = report.Waiting, nil
+	}
+	return st.enforceQuarantine(at, append(effects, st.quarantine.recordCrash(report)...), e.ID)
+}
+
+// quarantined returns the time after which a request may be sent again if it is refused
+// because of its parts, and 0 otherwise. A part on trial is admitted if no other request
+// that contains it is active without output.
+func (st *State) quarantined(at time.Time, e *activeRequest) time.Duration {
+	if !st.quarantine.active() || e.answered {
+		return 0
+	}
+	v := st.quarantine.judge(at, e.request.SharedParts)
+	if v.until.After(at) {
+		return v.until.Sub(at)
+	}
+	if len(v.onTrial) == 0 {
+		return 0
+	}
+	for _, other := range st.requests {
+		if other != e && !other.answered && containsAny(other.request.SharedParts, v.onTrial) {
+			return trialRetryAfter
+		}
+	}
+	return 0
+}
+
+// enforceQuarantine adds to changes of the quarantine what follows from them: waiting
+// requests with a refused part are refused, and running ones without output end if the
+// evidence is strong. The attempt of the request lost has ended already.
+func (st *State) enforceQuarantine(at time.Time, changes []Effect, lost RequestID) []Effect {
+	if len(changes) == 0 {
+		return nil
+	}
+	effects := changes
+	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
+		e := st.requests[id]
+		v := st.quarantine.judge(at, e.request.SharedParts)
+		switch {
+		case e.answered || !v.until.After(at):
+		case e.target == "":
+			st.service(e.request.Service).waiting.remove(func(w *activeRequest) bool { return w == e })
+			delete(st.requests, id)
+			effects = append(effects, Refuse{ID: id, RetryAfter: v.until.Sub(at), Reason: Quarantined})
+		case v.certain && e.request.Movable && !e.moving && id != lost:
+			e.moving = true
+			effects = append(effects, Move{ID: id})
+		}
+	}
+	return effects
+}
+
+// CrashEvidence returns what the other entry instances must know about crashes, and its
+// version.
+func (st *State) CrashEvidence() (CrashEvidence, uint64) {
+	return st.quarantine.evidence(), st.quarantine.version
+}
+
+// QuarantineVersion returns a number that increases when CrashEvidence changes.
+func (st *State) QuarantineVersion() uint64 { return st.quarantine.version }
+
 // refuseWaiting refuses the waiting requests of a service with a closed group, except
 // those whose callers have received a part of the response.
 func (st *State) refuseWaiting(s *service) []Effect {
@@ -351,11 +445,16 @@
 // observeGap updates the pass model of a target's group.
 func (st *State) observeGap(at time.Time, e StreamGap) []Effect {
 	s := st.service(e.Service)
-	if t, ok := s.targets[e.Target]; ok && s.Engine != nil {
+	t, ok := s.targets[e.Target]
+	if !ok {
+		return nil
+	}
+	effects := st.quarantine.recordOutput(at, at.Add(-e.Gap), t)
+	if s.Engine != nil {
 		running, pace := s.groupLoad(t.Group, st.peerLoads)
 		s.passModelOf(t.Group).observe(at, s.Engine, e.Gap, running, pace)
 	}
-	return nil
+	return effects
 }
 
 // dispatchWaiting dispatches waiting requests while targets have room.
@@ -408,6 +507,7 @@
 // tick dispatches waiting requests while targets have room and refuses those that have
 // waited too long.
 func (st *State) tick(at time.Time) []Effect {
+	st.quarantine.forget(at)
 	effects := st.dispatchAllWaiting(at)
 	for _, name := range slices.Sorted(maps.Keys(st.services)) {
 		s := st.services[name]
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -43,6 +43,7 @@
 	AttemptEnded       Event = 2013
 	StreamResumed      Event = 2014
 	LimitsSummary      Event = 2015
+	QuarantineChanged  Event = 2016
 	DutyTaken          Event = 2203
 	DutyLeft           Event = 2204
 	SwitchPlanned      Event = 2205
@@ -87,6 +88,7 @@
 	AttemptEnded:       "attemptEnded",
 	StreamResumed:      "streamResumed",
 	LimitsSummary:      "limitsSummary",
+	QuarantineChanged:  "quarantineChanged",
 	DutyTaken:          "dutyTaken",
 	DutyLeft:           "dutyLeft",
 	SwitchPlanned:      "switchPlanned",
