Attribute crashes that happen together to the same parts

Cause: requests with the same part run on several targets. Change: a crash without begun responses within 1 s of one with them names no parts. requestTurnedAway names the organisation and the shared parts.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -115,7 +115,7 @@
 // handleRefusal ends a request for which the core has no target or no further attempt.
 func (x *exchange) handleRefusal(r admission.Refuse) {
 	events.Log(x.logger, events.RequestTurnedAway, log.Fields{
-		"service": x.service, "reason": r.Reason.String(), "retryAfter": r.RetryAfter.String(),
+		"service": x.service, "organisation": x.organisation, "sharedParts": x.headers.SharedParts, "reason": r.Reason.String(), "retryAfter": r.RetryAfter.String(),
 		"queued": r.Queued, "expectedWait": r.ExpectedWait.String(), "version": x.version, "mayHaveRun": x.mayHaveRun,
 	})
 	after := r.RetryAfter
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -27,6 +27,10 @@
 	refuteAfter = 300 * time.Millisecond
 	// restartTime is the shortest time in which a crashed target can be back.
 	restartTime = time.Second
+	// joinedCrash is the time within which a crash without begun responses is attributed
+	// to the same parts as one with them: requests with those parts, which are ended at
+	// the first crash, run on several targets.
+	joinedCrash = time.Second
 	// maxCrashes bounds the crashes that are remembered, and maxCrashParts the parts of
 	// one crash.
 	maxCrashes    = 64
@@ -127,7 +131,7 @@
 // become harmful; then it must have been lost in an earlier crash as well, and not have
 // been answered since.
 func (q *quarantine) candidates(c *CrashReport) (parts []string, repeated bool) {
-	if c.Refuted {
+	if c.Refuted || q.explained(c) {
 		return nil, false
 	}
 	var again []string
@@ -147,12 +151,20 @@
 	return again, true
 }
 
+// explained reports whether a crash without begun responses happened together with one
+// that has them.
+func (q *quarantine) explained(c *CrashReport) bool {
+	return len(c.Begun) == 0 && slices.ContainsFunc(q.crashes, func(other *CrashReport) bool {
+		return len(other.Begun) > 0 && !other.Refuted && c.At.Sub(other.At).Abs() < joinedCrash
+	})
+}
+
 // offences counts the crashes that a part may have caused since it was last answered.
 // Crashes within shortHold of each other count once, as their requests ran together.
 func (q *quarantine) offences(part string) int {
 	count, last, sound := 0, time.Time{}, q.lastSound(part)
 	for _, c := range q.crashes {
-		if c.Refuted || !c.At.After(sound) || !slices.Contains(c.suspects(), part) {
+		if c.Refuted || q.explained(c) || !c.At.After(sound) || !slices.Contains(c.suspects(), part) {
 			continue
 		}
 		if last.IsZero() || c.At.Sub(last) > shortHold {
--- a/shared/admission/quarantine_test.go
+++ b/shared/admission/quarantine_test.go
@@ -207,6 +207,19 @@
 	p.Assert(p.admitted("bad"), qt.IsTrue)
 }
 
+// Requests with the same part run on two targets. The request on the second target ends
+// at the first crash, but the target crashes all the same, and loses others.
+func TestCrashTogetherWithAnotherSuspectsNoOthers(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	p.answer("shared")
+	bystander, _ := p.submit("new")
+	p.crash("shared", "bad")
+	p.now = p.now.Add(20 * time.Millisecond)
+	p.lose(bystander, false)
+	p.Assert(p.admitted("new"), qt.IsTrue)
+	p.Assert(p.admitted("shared", "bad"), qt.IsFalse)
+}
+
 // While a group waits for a crashed rank, all its ranks cut their requests off.
 func TestCutsOfAStalledGroupAreNoCrashes(t *testing.T) {
 	c := qt.New(t)
