Bound the head of a target's response

Cause: http.ReadResponse has no limit of its own. A target that sends bytes without end where a head is due filled the router's memory until the request's deadline. Change: a head may have 64 KiB; the connection is reset then. A stream that ends inside an event counts as a connection closed by the target.

--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -406,6 +406,101 @@
 	d.Assert(reached, qt.Equals, 1)
 }
 
+// A target sends bytes without end that are no response. The attempt ends after a bounded
+// number of bytes.
+func TestEndlessBytesEndTheAttempt(t *testing.T) {
+	sent := make(chan int, 1)
+	endless := func(prefix, repeated string) platformtest.Handler {
+		return func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			_, _ = io.WriteString(w.Conn, prefix)
+			total, block := 0, strings.Repeat(repeated, 4096)
+			for {
+				n, err := io.WriteString(w.Conn, block)
+				if total += n; err != nil {
+					sent <- total
+					w.Close()
+					return
+				}
+			}
+		}
+	}
+	const maxSent = 16 << 20 // Far more than the sockets buffer.
+	for name, handler := range map[string]platformtest.Handler{
+		"status line":  endless("", "x"),
+		"header":       endless("HTTP/1.1 200 OK\r\nX: ", "x"),
+		"headers":      endless("HTTP/1.1 200 OK\r\n", "X: y\r\n"),
+		"event":        endless("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "x"),
+		"chunk header": endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1"),
+		"trailer":      endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, 1, map[string]platformtest.Handler{"i-1": handler})
+			a, err := d.call(context.Background(), platformtest.Call{Path: streamPath, Attempt: "a", Left: time.Second})
+			d.Assert(err != nil || a.cut || a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout, qt.IsTrue, qt.Commentf("%+v", a))
+			select {
+			case total := <-sent:
+				d.Assert(total <= maxSent, qt.IsTrue, qt.Commentf("%d bytes were read", total))
+			case <-time.After(4 * time.Second):
+				d.Fatal("the connection was not closed within 4 s")
+			}
+		})
+	}
+}
+
+// A response without a length ends with its connection. It is complete unless the
+// connection is reset.
+func TestResponsesWithoutLength(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Signature: s\r\n"
+	respond := func(text string, reset bool) platformtest.Handler {
+		return func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			_, _ = io.WriteString(w.Conn, text)
+			time.Sleep(20 * time.Millisecond)
+			if reset {
+				w.Reset()
+				return
+			}
+			w.Close()
+		}
+	}
+	for name, test := range map[string]struct {
+		path   string
+		first  platformtest.Handler
+		status int
+		body   string
+	}{
+		"whole body":      {nonIdempotentPath, respond(head+"\r\nwhole", false), http.StatusOK, "whole"},
+		"reset body":      {nonIdempotentPath, respond(head+"\r\nwhole", true), http.StatusBadGateway, ""},
+		"whole stream":    {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\n"+expectedStream(1, 3), false), http.StatusOK, expectedStream(1, 3)},
+		"stream in event": {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\n"+expectedStream(1, 3)+"id: 4\nda", false), http.StatusOK, expectedStream(1, 5)},
+		"line is whole":   {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\n"+expectedStream(1, 3)+"id: 4\ndata: event-4\n", false), http.StatusOK, expectedStream(1, 5)},
+		"reset stream":    {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\n"+expectedStream(1, 3), true), http.StatusOK, expectedStream(1, 5)},
+		"first event":     {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\nid: 1\nda", false), http.StatusOK, expectedStream(1, 5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mutex sync.Mutex
+			began := false
+			handler := func(w *platformtest.ResponseWriter, r platformtest.Run) {
+				mutex.Lock()
+				first := !began
+				began = true
+				mutex.Unlock()
+				if first {
+					test.first(w, r)
+					return
+				}
+				streamEvents(1, 5)(w, r)
+			}
+			d := deploy(t, 1, map[string]platformtest.Handler{"i-1": handler, "i-2": handler})
+			a := d.mustCall(platformtest.Call{Path: test.path, Attempt: "a"})
+			d.Assert(a.cut, qt.IsFalse)
+			d.Assert(a.status, qt.Equals, test.status)
+			if test.body != "" {
+				d.Assert(a.body, qt.Equals, test.body)
+			}
+		})
+	}
+}
+
 // While a whole group of ranks is stalled, another rank would not respond sooner:
 // requests stay at their targets and receive late responses, without further attempts.
 func TestStalledGroupIsNotRetried(t *testing.T) {
--- a/router/caller/stream.go
+++ b/router/caller/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 )
 
@@ -15,7 +16,7 @@
 
 var (
 	errEventTooLong = errors.New("stream event exceeds the maximum of 1 MiB")
-	errEventCut     = errors.New("stream ended inside an event")
+	errEventCut     = fmt.Errorf("stream ended inside an event: %w", io.ErrUnexpectedEOF)
 
 	idField = []byte("id:")
 )
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -33,7 +33,8 @@
 	// failed; the request may have run.
 	ErrBroken = fault.NewSentinel("target", "broken")
 
-	errStray = errors.New("target sent only responses to other requests")
+	errHeadTooLong = errors.New("response head exceeds the maximum of 64 KiB")
+	errStray       = errors.New("target sent only responses to other requests")
 )
 
 // ClosedByTarget reports whether an error means that the target closed or reset the
