End requests of callers that stop reading

Cause: a write to a caller that does not read blocks without limit. Its request held a place at its target, and in the entry's limits, past its deadline. Change: writes fail 0.5 s after the request's deadline. Conclusion: found by looking for stalled streams that never end.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -30,6 +30,9 @@
 	// stallPollInterval is how often a stalled group is checked again. An attempt on it
 	// is not retried meanwhile: another rank would not respond sooner.
 	stallPollInterval = 200 * time.Millisecond
+	// writeGrace is how long after its deadline a response may still be written. A caller
+	// that does not read must not hold a target.
+	writeGrace = 500 * time.Millisecond
 	// stallGrace is how long an attempt may take to its first event once its group has
 	// resumed: the prompts that waited are processed first.
 	stallGrace = 400 * time.Millisecond
@@ -87,6 +90,10 @@
 	x.deadline = x.began.Add(timeout)
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
+	controller := http.NewResponseController(x.writer)
+	if controller.SetWriteDeadline(x.deadline.Add(writeGrace)) == nil {
+		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }() // The connection serves other requests.
+	}
 	x.id, x.decisions = x.router.core.Submit(admission.Request{
 		Service: x.service, Organisation: x.organisation, Priority: x.priority,
 		Objective: x.route.Objective, Elapsed: elapsed, Deadline: x.deadline,
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -501,6 +502,32 @@
 	}
 }
 
+// A caller stops reading. Its request ends at its deadline and leaves its target.
+func TestCallerThatStopsReadingReleasesItsTarget(t *testing.T) {
+	payload := strings.Repeat("x", 64<<10)
+	handler := func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+		w.StartStream()
+		for i := 1; i < 1000; i++ {
+			text := "id: " + strconv.Itoa(i) + "\ndata: " + payload + "\n\n"
+			if _, err := fmt.Fprintf(w.Conn, "%x\r\n%s\r\n", len(text), text); err != nil {
+				w.Close()
+				return
+			}
+		}
+	}
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": handler})
+	request, err := platformtest.Call{Method: http.MethodPost, Path: streamPath, Attempt: "a", Key: testKey, Left: time.Second}.Request(context.Background(), d.routers[0].options.Callers)
+	d.Assert(err, qt.IsNil)
+	conn, err := net.Dial("tcp", d.routers[0].options.Callers.String())
+	d.Assert(err, qt.IsNil)
+	defer conn.Close()
+	d.Assert(request.Write(conn), qt.IsNil)
+	d.eventually("the request runs", func() bool { return len(d.routers[0].core.Running()) == 1 })
+	began := time.Now()
+	d.eventually("the request has left its target", func() bool { return len(d.routers[0].core.Running()) == 0 })
+	d.Assert(time.Since(began) < 2500*time.Millisecond, qt.IsTrue)
+}
+
 // While a whole group of ranks is stalled, another rank would not respond sooner:
 // requests stay at their targets and receive late responses, without further attempts.
 func TestStalledGroupIsNotRetried(t *testing.T) {
