Do not pass on a part of a long error response

Cause: an error response of more than 256 KiB was buffered in part, and that part was sent with its own length, as if it were whole. Change: such a response counts as broken; the caller gets 502. Measured: TestLongErrorResponseIsNotCutShort fails on the parent. Conclusion: found by looking for answers that break off halfway and look complete.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -18,6 +18,8 @@
 	"github.com/apex/log"
 )
 
+var errBodyTooLong = errors.New("body of an error response exceeds the maximum of 256 KiB")
+
 // attempt is one attempt to serve a request at a target.
 type attempt struct {
 	*exchange
@@ -87,7 +89,10 @@
 // retried while attempts are left. Otherwise the response is forwarded, unless its status
 // is 503 or the response to the caller has already started.
 func (a *attempt) handleServerError(ctx context.Context, response *target.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes {
+		err = errBodyTooLong
+	}
 	if err != nil {
 		return a.retryOrEnd(ctx, admission.Broken, true, err)
 	}
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -502,6 +502,16 @@
 	}
 }
 
+// An error response that is too long to buffer is not passed on in part.
+func TestLongErrorResponseIsNotCutShort(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+		w.WriteResponse(http.StatusInternalServerError, strings.Repeat("x", 2*maxBufferedBytes))
+	}})
+	a := d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: "a"})
+	d.Assert(a.status, qt.Equals, http.StatusBadGateway)
+	d.Assert(platformtest.Signed(a.header), qt.IsFalse)
+}
+
 // A caller stops reading. Its request ends at its deadline and leaves its target.
 func TestCallerThatStopsReadingReleasesItsTarget(t *testing.T) {
 	payload := strings.Repeat("x", 64<<10)
