Hand the operators' listener to the daemons of the demo

The demo's site looked for a free port for operators, released it and let the daemon open it again; a test of another package, or an outgoing connection, could take it in between, and the entry was never ready. Change: entries and agents serve operators on a listener that they are given, as they do peers and callers; the site passes the one that it found.

--- a/agent/target/agent.go
+++ b/agent/target/agent.go
@@ -65,7 +65,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	return NewAgent(options, logger).Serve(ctx, listener)
+	operators, err := net.Listen("tcp", options.Operators.String())
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return NewAgent(options, logger).Serve(ctx, listener, operators)
 }
 
 // NewAgent returns an agent that is started by Serve.
@@ -98,10 +102,10 @@
 // Applied returns the offset of the last configuration record that was applied.
 func (a *Agent) Applied() platform.Offset { return a.node.View().Applied }
 
-// Serve serves peers on a listener until the context ends, and then until the
+// Serve serves peers and operators on their listeners until the context ends, and then until the
 // remaining attempts have ended and their responses are delivered, which it awaits for
 // at most deliveryTimeout.
-func (a *Agent) Serve(ctx context.Context, listener net.Listener) error {
+func (a *Agent) Serve(ctx context.Context, listener, operators net.Listener) error {
 	workCtx, cancel := a.ctx, a.kill
 	defer cancel()
 	listener, dialTLS, err := a.options.PeerTLS.Secure(listener)
@@ -116,7 +120,7 @@
 	if a.options.ReportsLoad {
 		group.Go(func() { a.pollLoad(workCtx) })
 	}
-	group.Go(func() { a.serveOperators(workCtx) })
+	group.Go(func() { a.serveOperators(workCtx, operators) })
 	group.Go(func() { a.sweepOutputs(workCtx) })
 	events.Log(a.logger, events.Started, log.Fields{"peer": a.options.Peer, "target": a.options.Target})
 	context.AfterFunc(ctx, func() {
--- a/agent/target/operators.go
+++ b/agent/target/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/settings"
@@ -19,8 +20,8 @@
 	})
 }
 
-func (a *Agent) serveOperators(ctx context.Context) {
-	if err := a.operatorServer.Serve(ctx, a.options.Operators); err != nil {
+func (a *Agent) serveOperators(ctx context.Context, operators net.Listener) {
+	if err := a.operatorServer.Serve(ctx, operators); err != nil {
 		a.logger.WithError(err).Error("operator server failed")
 	}
 }
--- a/demo/site/site.go
+++ b/demo/site/site.go
@@ -213,20 +213,18 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// common returns the settings that entries and agents share, with a free port for
+// common returns the settings that entries and agents share, and the listener for
 // operators.
-func (s *Site) common(name, dataCentre string, peers netip.AddrPort) (settings.Common, error) {
+func (s *Site) common(name, dataCentre string, peers netip.AddrPort) (settings.Common, net.Listener, error) {
 	operators, err := listen()
 	if err != nil {
-		return settings.Common{}, err
+		return settings.Common{}, nil, err
 	}
-	address := addressOf(operators)
-	_ = operators.Close() // The daemon opens this port itself.
-	s.Operators[name] = address
+	s.Operators[name] = addressOf(operators)
 	return settings.Common{
-		Instance: name, DataCentre: dataCentre, Peer: peers, Operators: address,
+		Instance: name, DataCentre: dataCentre, Peer: peers, Operators: addressOf(operators),
 		Platform: s.Platform, LogRetention: settings.Duration(24 * time.Hour),
-	}, nil
+	}, operators, nil
 }
 
 // startEngine starts a stand-in engine and its agent.
@@ -266,7 +264,7 @@
 	if err != nil {
 		return err
 	}
-	common, err := s.common(name, dataCentre, addressOf(listener))
+	common, operators, err := s.common(name, dataCentre, addressOf(listener))
 	if err != nil {
 		return err
 	}
@@ -278,15 +276,15 @@
 		instance.Group, instance.Ranks = GroupName, []int{len(s.Engines) - 1}
 	}
 	s.Inventory.Instances[name] = instance
-	s.runAgent(target.Options{Common: common, Target: s.targetAddresses[name], Service: service, ReportsLoad: reports}, listener)
+	s.runAgent(target.Options{Common: common, Target: s.targetAddresses[name], Service: service, ReportsLoad: reports}, listener, operators)
 	return nil
 }
 
-func (s *Site) runAgent(options target.Options, listener net.Listener) {
+func (s *Site) runAgent(options target.Options, listener, operators net.Listener) {
 	s.agentOptions[options.Instance] = options
 	agent := target.NewAgent(options, s.options.Logger)
 	s.applied[options.Instance] = agent.Applied
-	s.run(options.Instance, func(ctx context.Context) error { return agent.Serve(ctx, listener) }, agent.Kill)
+	s.run(options.Instance, func(ctx context.Context) error { return agent.Serve(ctx, listener, operators) }, agent.Kill)
 }
 
 // run starts a goroutine that runs a daemon until it is stopped or fails.
@@ -311,7 +309,7 @@
 	if err != nil {
 		return err
 	}
-	common, err := s.common(name, dataCentre, addressOf(peers))
+	common, operators, err := s.common(name, dataCentre, addressOf(peers))
 	if err != nil {
 		return err
 	}
@@ -322,7 +320,7 @@
 	options := caller.Options{Common: common, Callers: addressOf(callers), AddressKeep: settings.Duration(s.options.AddressKeep)}
 	entry := caller.NewEntry(options, s.options.Logger)
 	s.applied[name] = entry.Applied
-	s.run(name, func(ctx context.Context) error { return entry.Serve(ctx, callers, peers) }, entry.Kill)
+	s.run(name, func(ctx context.Context) error { return entry.Serve(ctx, callers, peers, operators) }, entry.Kill)
 	return nil
 }
 
@@ -337,7 +335,11 @@
 	if err != nil {
 		return fmt.Errorf("listen on the address of the killed agent: %w", err)
 	}
-	s.runAgent(options, listener)
+	operators, err := net.Listen("tcp", options.Operators.String())
+	if err != nil {
+		return fmt.Errorf("listen on the operators' address of the killed agent: %w", err)
+	}
+	s.runAgent(options, listener, operators)
 	return nil
 }
 
--- a/demo/site/site_test.go
+++ b/demo/site/site_test.go
@@ -7,10 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/textproto"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -435,3 +438,14 @@
 	c.Assert(r.Header.Get("Link"), qt.Equals, "", qt.Commentf("the final response carries the Link header of the early hints"))
 	c.Assert(r.Trailer.Get(plain.TrailerName), qt.Equals, "sum")
 }
+
+// Another process must not take the operators' port before the daemon serves on it.
+func TestOperatorPortIsHeldUntilItIsServed(t *testing.T) {
+	c := qt.New(t)
+	s := &Site{Operators: make(map[string]netip.AddrPort)}
+	common, operators, err := s.common("entry-0", "dc-a", netip.AddrPort{})
+	c.Assert(err, qt.IsNil)
+	defer operators.Close()
+	_, err = net.Listen("tcp", common.Operators.String())
+	c.Assert(err, qt.ErrorIs, syscall.EADDRINUSE)
+}
--- a/entry/caller/entry.go
+++ b/entry/caller/entry.go
@@ -59,7 +59,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	return NewEntry(options, logger).Serve(ctx, callers, peers)
+	operators, err := net.Listen("tcp", options.Operators.String())
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return NewEntry(options, logger).Serve(ctx, callers, peers, operators)
 }
 
 // NewEntry returns an entry that starts to work when Serve is called.
@@ -80,10 +84,10 @@
 // Applied returns the offset of the last configuration record that this entry applied.
 func (e *Entry) Applied() platform.Offset { return e.node.View().Applied }
 
-// Serve handles callers and peers until the context ends. It then reports to peers
+// Serve handles callers, peers and operators until the context ends. It then reports to peers
 // that it is draining, continues to serve for Options.AddressKeep, and returns when
 // the last request has completed.
-func (e *Entry) Serve(ctx context.Context, callers, peers net.Listener) error {
+func (e *Entry) Serve(ctx context.Context, callers, peers, operators net.Listener) error {
 	workCtx, cancel := e.ctx, e.kill
 	defer cancel()
 	callers, err := e.withTLS(callers)
@@ -109,7 +113,7 @@
 	defer group.Wait()
 	defer cancel()
 	group.Go(func() { e.node.Run(workCtx) })
-	group.Go(func() { e.serveOperators(workCtx) })
+	group.Go(func() { e.serveOperators(workCtx, operators) })
 	group.Go(func() { _ = peer.Serve(workCtx, peers, e.servePeer) })
 	events.Log(e.logger, events.Started, log.Fields{"callers": e.options.Callers, "peer": e.options.Peer})
 	drained := make(chan struct{})
--- a/entry/caller/operators.go
+++ b/entry/caller/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 
 	"chervilswitch.example/shared/control"
@@ -32,8 +33,8 @@
 	return o
 }
 
-func (e *Entry) serveOperators(ctx context.Context) {
-	if err := e.operatorServer.Serve(ctx, e.options.Operators); err != nil {
+func (e *Entry) serveOperators(ctx context.Context, operators net.Listener) {
+	if err := e.operatorServer.Serve(ctx, operators); err != nil {
 		e.logger.WithError(err).Error("operator server failed")
 	}
 }
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -141,7 +141,7 @@
 	}
 	goroutines.Go(func() { _ = peer.Serve(lifetime, peers, r.servePeer) })
 	goroutines.Go(func() {
-		if err := operators.Serve(lifetime, r.options.Operators); err != nil {
+		if err := operators.ListenAndServe(lifetime, r.options.Operators); err != nil {
 			events.Log(r.logger, events.DependencyLost, log.Fields{"dependency": "operatorsListener", "error": err.Error()})
 		}
 	})
--- a/shared/settings/operators.go
+++ b/shared/settings/operators.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/pprof"
 	"net/netip"
@@ -52,15 +53,24 @@
 	return o
 }
 
-// Serve listens on an address and serves until the context ends.
-func (o *OperatorServer) Serve(ctx context.Context, address netip.AddrPort) error {
-	server := &http.Server{Addr: address.String(), Handler: o.Mux, ReadHeaderTimeout: HeaderTimeout}
+// ListenAndServe listens on an address and serves until the context ends.
+func (o *OperatorServer) ListenAndServe(ctx context.Context, address netip.AddrPort) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return o.Serve(ctx, listener)
+}
+
+// Serve serves on a listener until the context ends, and closes it.
+func (o *OperatorServer) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: o.Mux, ReadHeaderTimeout: HeaderTimeout}
 	stop := context.AfterFunc(ctx, func() {
 		_ = server.Close()
 		_ = o.closer.Close()
 	})
 	defer stop()
-	if err := server.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("operator server: %w", err)
 	}
 	return nil
