--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -108,15 +108,10 @@
 	return r
 }
 
-// freeAddresses returns distinct local addresses that are free.
 func freeAddresses(c *qt.C, count int) []netip.AddrPort {
-	var addresses []netip.AddrPort
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		defer listener.Close()
-		addresses = append(addresses, netip.MustParseAddrPort(listener.Addr().String()))
-	}
+	c.Helper()
+	addresses, err := platformtest.FreeAddresses(count)
+	c.Assert(err, qt.IsNil)
 	return addresses
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -199,7 +198,12 @@
 		"sidecarPort": 1, "retryRatio": 0.2, "retrySlack": 90, "fencing": true, "gracePeriod": "3s", "addressKeep": "1s",
 	}}
 	listeners := []string{"callers", "readiness", "resolution", "peers", "operators"}
-	for i, address := range s.freeAddresses(len(listeners)) {
+	// A port that the system assigns may be taken again before the router listens. In the
+	// first version of this test, routers did not start for that reason at seeds 105, 108
+	// and 4007.
+	addresses, err := platformtest.FreeAddresses(len(listeners))
+	s.Assert(err, qt.IsNil)
+	for i, address := range addresses {
 		r.settings[listeners[i]] = address.String()
 	}
 	raw, err := json.Marshal(r.settings)
@@ -209,20 +213,6 @@
 	s.startRouter(r)
 }
 
-// freeAddresses finds distinct free addresses. It keeps all listeners open until it
-// returns, because a port that is released may be assigned again. In the first version
-// of this test, routers did not start for that reason at seeds 105, 108 and 4007.
-func (s *soak) freeAddresses(count int) []netip.AddrPort {
-	var addresses []netip.AddrPort
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		s.Assert(err, qt.IsNil)
-		defer listener.Close()
-		addresses = append(addresses, netip.MustParseAddrPort(listener.Addr().String()))
-	}
-	return addresses
-}
-
 // startRouter starts a router's process, which logs to a file in the seed's folder.
 func (s *soak) startRouter(r *router) {
 	output, err := os.OpenFile(filepath.Join(s.folder, r.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
