Keep crashes that requests caused in the store

Cause: the evidence lived in the instances only. Instances read it at start; an instance that is cut off from its peers reads it from the store as well. Measured: TestCrashIsKnownAfterAllInstancesRestart; without the store it fails. TestInstancesAgreeOnRandomEvidence: 300 seeds agree.

--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +67,7 @@
 	metrics  metrics
 	store    *platform.Store
 	self     fleet.Instance
+	crashes  crashStore
 	stopping atomic.Bool
 	// lifetime bounds all work, also that of the grace period; cancelLifetime ends it.
 	lifetime       context.Context
@@ -85,7 +87,7 @@
 	logger = logger.WithField("instance", options.Instance)
 	var r *Router
 	r = &Router{
-		options: options, logger: logger, store: platform.NewStore(options.Store),
+		options: options, logger: logger, store: platform.NewStore(options.Store), crashes: newCrashStore(),
 		core: core.New(core.Options{
 			Instance: options.Instance, DataCentre: options.DataCentre, Logger: logger,
 			RetryBudget:       admission.RetryBudget{Ratio: options.RetryRatio, Slack: options.RetrySlack},
@@ -102,12 +104,6 @@
 	return r
 }
 
-// quarantineChanged counts a change of the quarantine and sends it to the other instances.
-func (r *Router) quarantineChanged(c admission.QuarantineChanged) {
-	r.metrics.recordQuarantine(c.Change.String())
-	r.entries.Broadcast()
-}
-
 // reload applies changed settings; if they are invalid, the old ones stay in force.
 func (r *Router) reload() {
 	fresh, err := r.options.Reread()
@@ -172,13 +168,19 @@
 	})
 	goroutines.Go(func() { leadership.Run(serving, groupPlanner.Run) })
 	goroutines.Go(func() { r.publishRegistration(lifetime, false) })
+	goroutines.Go(func() { r.keepCrashes(lifetime) })
 	goroutines.Go(func() { r.tickLoop(lifetime) })
 	goroutines.Go(func() { settings.Watch(lifetime, r.options.File, r.reload) })
 }
 
-// registerEntries applies registrations of entry instances.
+// registerEntries applies registrations of entry instances, and the crashes that they have
+// reported.
 func (r *Router) registerEntries(records []fleet.Record) {
 	for _, record := range records {
+		if strings.HasPrefix(record.Key, crashKeyPrefix) {
+			r.registerCrash(record)
+			continue
+		}
 		var i fleet.Instance
 		if err := json.Unmarshal(record.Value, &i); err != nil {
 			events.Log(r.logger, events.RecordUnreadable, log.Fields{"topic": record.Topic.String(), "key": record.Key, "error": err.Error()})
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +19,7 @@
 	"chervilswitch.example/platform/platformtest"
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/fleet"
 	"chervilswitch.example/shared/settings"
 
 	qt "github.com/frankban/quicktest"
@@ -533,6 +535,39 @@
 	d.Assert(time.Since(began) < 2500*time.Millisecond, qt.IsTrue)
 }
 
+// All instances restart after a crash. The request that caused it is still refused.
+func TestCrashIsKnownAfterAllInstancesRestart(t *testing.T) {
+	handlers := make(map[string]platformtest.Handler)
+	var d *deployment
+	for i := range 3 {
+		id := "i-" + strconv.Itoa(i)
+		handlers[id] = func(w *platformtest.ResponseWriter, r platformtest.Run) {
+			if !strings.Contains(r.Prompt, "bad:") {
+				streamEvents(1, 2)(w, r)
+				return
+			}
+			w.StartStream()
+			time.Sleep(5 * time.Millisecond)
+			d.replicas[id].Close()
+		}
+	}
+	d = deploy(t, 1, handlers)
+	crashing := platformtest.Call{Path: streamPath, Attempt: "a", Prompt: "bad:9,own:5"}
+	d.Assert(d.mustCall(crashing).status, qt.Equals, http.StatusBadGateway)
+	d.eventually("the crash is stored", func() bool {
+		listing, err := d.routers[0].store.List(context.Background(), fleet.EntryTopic)
+		return err == nil && slices.ContainsFunc(listing.Records, func(r fleet.Record) bool { return strings.HasPrefix(r.Key, crashKeyPrefix) })
+	})
+	d.stops[0]()
+	<-d.ended[0]
+	d.ended[0] <- nil // The clean-up waits for it as well.
+	d.routers = nil
+	d.startInstance(t)
+	d.eventually("the new instance is ready", func() bool { return platformtest.Ready(d.routers[0].options.Readiness) })
+	d.Assert(d.mustCall(platformtest.Call{Path: streamPath, Attempt: "b", Prompt: "good:9,own:5"}).status, qt.Equals, http.StatusOK)
+	d.Assert(d.mustCall(crashing).status, qt.Equals, http.StatusServiceUnavailable)
+}
+
 // While a whole group of ranks is stalled, another rank would not respond sooner:
 // requests stay at their targets and receive late responses, without further attempts.
 func TestStalledGroupIsNotRetried(t *testing.T) {
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -177,6 +177,14 @@
 	})
 }
 
+// OwnCrashes returns the crashes that this instance has reported; see
+// admission.State.OwnCrashes.
+func (c *Core) OwnCrashes() []admission.CrashReport {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.admission.OwnCrashes()
+}
+
 // CrashEvidence returns what other instances must know about crashes, and its version.
 // If the version is not newer than the given one, there is nothing new and no evidence is
 // returned.
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -15,8 +15,8 @@
 	// further crash, up to maxHold.
 	baseHold = time.Minute
 	maxHold  = 5 * time.Minute
-	// evidenceAge is the age at which a crash is forgotten.
-	evidenceAge = 10 * time.Minute
+	// EvidenceAge is the age at which a crash is forgotten.
+	EvidenceAge = 10 * time.Minute
 	// reporterLead is how much earlier the reporter of a crash tries a part again than
 	// the other instances.
 	reporterLead = 10 * time.Second
@@ -68,6 +68,9 @@
 	Reports []CrashReport
 	// Sound holds when the instance last received output for parts that are suspected.
 	Sound map[string]time.Time
+	// Stored is true for evidence from the store. Its times come from other clocks, so
+	// that reports on known crashes are ignored.
+	Stored bool
 }
 
 // QuarantineChanged reports a change of the parts whose requests are refused.
@@ -314,6 +317,13 @@
 	return nil
 }
 
+// knows reports whether any crash of the same incarnation of the target is known.
+func (q *quarantine) knows(r CrashReport) bool {
+	return slices.ContainsFunc(q.crashes, func(c *CrashReport) bool {
+		return c.Target == r.Target && c.Incarnation == r.Incarnation
+	})
+}
+
 // merge adds another report on the same crash and reports whether it says anything new.
 func (r *CrashReport) merge(other CrashReport) bool {
 	begun, waiting := len(r.Begun), len(r.Waiting)
@@ -352,7 +362,7 @@
 func (q *quarantine) applyEvidence(at time.Time, e CrashEvidence) []Effect {
 	var effects []Effect
 	for _, r := range e.Reports {
-		if at.Sub(r.At) < evidenceAge {
+		if at.Sub(r.At) < EvidenceAge && !(e.Stored && q.knows(r)) {
 			effects = append(effects, q.recordCrash(r)...)
 		}
 	}
@@ -374,12 +384,29 @@
 	})
 }
 
+// own returns the crashes that this instance has reported with begun responses, with the
+// parts that still explain them in Begun.
+func (q *quarantine) own() []CrashReport {
+	var reports []CrashReport
+	for _, c := range q.crashes {
+		if c.Reporter != q.instance || len(c.Begun) == 0 {
+			continue
+		}
+		if parts, _ := q.candidates(c); len(parts) > 0 {
+			report := *c
+			report.Begun, report.Waiting = parts, nil
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
+
 // forget removes crashes whose evidence is old, and what is known about their parts.
 func (q *quarantine) forget(at time.Time) {
-	if !q.active() || at.Sub(q.crashes[0].At) < evidenceAge {
+	if !q.active() || at.Sub(q.crashes[0].At) < EvidenceAge {
 		return
 	}
-	q.crashes = slices.DeleteFunc(q.crashes, func(c *CrashReport) bool { return at.Sub(c.At) >= evidenceAge })
+	q.crashes = slices.DeleteFunc(q.crashes, func(c *CrashReport) bool { return at.Sub(c.At) >= EvidenceAge })
 	for part := range q.peerSound {
 		if !q.suspected(part) {
 			delete(q.peerSound, part)
--- a/shared/admission/quarantine_test.go
+++ b/shared/admission/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -201,7 +202,7 @@
 	p.crash("bad") // The trial.
 	_, refused := p.submit("bad")
 	p.Assert(refused.RetryAfter, qt.Equals, 2*baseHold)
-	p.now = p.now.Add(evidenceAge)
+	p.now = p.now.Add(EvidenceAge)
 	p.reduce(Tick{})
 	p.Assert(p.state.quarantine.active(), qt.IsFalse)
 	p.Assert(p.admitted("bad"), qt.IsTrue)
@@ -323,3 +324,66 @@
 		q.judge(at.Add(time.Minute), []string{"none", fmt.Sprint(5, 5)})
 	}
 }
+
+// Instances see crashes, answers and refutations in random order, and exchange evidence
+// at random times. Once they have exchanged all of it, they agree, and no part is refused
+// that was answered after the last crash that names it.
+func TestInstancesAgreeOnRandomEvidence(t *testing.T) {
+	parts := []string{"p0", "p1", "p2", "p3", "p4"}
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		instances := []*quarantine{{instance: "entry-a"}, {instance: "entry-b"}, {instance: "entry-c"}}
+		at := time.Unix(10_000, 0)
+		answered, crashed := make(map[string]time.Time), make(map[string]time.Time)
+		exchange := func(from, to *quarantine) { to.applyEvidence(at, from.evidence()) }
+		for range 60 {
+			at = at.Add(time.Duration(random.IntN(4000)) * time.Millisecond)
+			q := instances[random.IntN(len(instances))]
+			lost := []string{parts[random.IntN(len(parts))], parts[random.IntN(len(parts))]}
+			switch random.IntN(6) {
+			case 0:
+				r := CrashReport{Target: fmt.Sprint("t", random.IntN(40)), Incarnation: 1, At: at, Reporter: q.instance, Begun: lost}
+				if random.IntN(2) == 0 {
+					r.Begun, r.Waiting = nil, lost
+				}
+				if q.find(r) == nil {
+					q.recordCrash(r)
+					crashed[lost[0]], crashed[lost[1]] = at, at
+				}
+			case 1:
+				q.recordSound(at, lost[:1])
+				answered[lost[0]] = at
+			case 2:
+				q.recordOutput(at, at.Add(-time.Second), &target{Target: fleet.Target{ID: fmt.Sprint("t", random.IntN(40)), Incarnation: 1}})
+			default:
+				exchange(q, instances[random.IntN(len(instances))])
+			}
+		}
+		for range len(instances) {
+			for _, from := range instances {
+				for _, to := range instances {
+					exchange(from, to)
+				}
+			}
+		}
+		c := qt.New(t)
+		for i, crash := range instances[0].crashes {
+			expected, _ := instances[0].candidates(crash)
+			for _, q := range instances[1:] {
+				got, _ := q.candidates(q.crashes[i])
+				c.Assert(got, qt.ContentEquals, expected, qt.Commentf("seed %d crash %d", seed, i))
+			}
+		}
+		for _, part := range parts {
+			first := instances[0].judge(at, []string{part})
+			for _, q := range instances[1:] {
+				// Instances other than the reporter admit a part later.
+				left, firstLeft := max(0, q.judge(at, []string{part}).until.Sub(at)), max(0, first.until.Sub(at))
+				c.Assert((left-firstLeft).Abs() <= reporterLead, qt.IsTrue, qt.Commentf("seed %d part %s", seed, part))
+			}
+			if answered[part].After(crashed[part]) {
+				c.Assert(first.until.IsZero(), qt.IsTrue, qt.Commentf("seed %d part %s", seed, part))
+			}
+		}
+	}
+}
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -428,6 +428,10 @@
 	return st.quarantine.evidence(), st.quarantine.version
 }
 
+// OwnCrashes returns the crashes that this instance has reported with begun responses,
+// with the parts that still explain them in Begun.
+func (st *State) OwnCrashes() []CrashReport { return st.quarantine.own() }
+
 // QuarantineVersion returns a number that increases when CrashEvidence changes.
 func (st *State) QuarantineVersion() uint64 { return st.quarantine.version }
 
--- a/shared/fleet/target.go
+++ b/shared/fleet/target.go
@@ -26,6 +26,17 @@
 	Rank, Ranks int
 }
 
+// Crash is the record of a target's crash in the store.
+type Crash struct {
+	Target      string `json:"target"`
+	Incarnation uint64 `json:"incarnation"`
+	// At is the time of day of the crash, by the clock of the instance that reported it.
+	At       time.Time `json:"at"`
+	Reporter string    `json:"reporter"`
+	// Parts lists the parts of prompts that may have crashed the target.
+	Parts []string `json:"parts"`
+}
+
 // Instance is the registration of an entry instance in the store.
 type Instance struct {
 	Name       string `json:"name"`
