Refuse responses without an attempt ID on reused connections

Cause: a response without an ID was taken for the response to the request at hand. A late copy of an earlier response, on a connection in use again, reached the next caller. Change: on a connection that has served a request, only a response with the request's own ID counts; others are skipped as responses to other requests are. Measured: TestLateCopyWithoutAttemptIDIsNotForwarded got the other caller's response on the parent.

--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -568,6 +568,28 @@
 	d.Assert(d.mustCall(crashing).status, qt.Equals, http.StatusServiceUnavailable)
 }
 
+// A late copy of an earlier response has no attempt ID. On a connection that was in use
+// before, it is not taken for the response to the next request.
+func TestLateCopyWithoutAttemptIDIsNotForwarded(t *testing.T) {
+	var mutex sync.Mutex
+	served := 0
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": func(w *platformtest.ResponseWriter, r platformtest.Run) {
+		mutex.Lock()
+		served++
+		first := served == 1
+		mutex.Unlock()
+		if !first {
+			_, _ = io.WriteString(w.Conn, "HTTP/1.1 200 OK\r\nServer-Signature: late\r\nContent-Length: 4\r\n\r\nlate")
+			time.Sleep(20 * time.Millisecond)
+		}
+		echo(w, r)
+	}})
+	d.Assert(d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: "a"}).body, qt.Equals, "echo a")
+	d.Assert(d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: "b"}).body, qt.Equals, "echo b")
+	accepted, _ := d.replicas["i-1"].Connections()
+	d.Assert(accepted, qt.Equals, 1)
+}
+
 // While a whole group of ranks is stalled, another rank would not respond sooner:
 // requests stay at their targets and receive late responses, without further attempts.
 func TestStalledGroupIsNotRetried(t *testing.T) {
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -149,7 +149,8 @@
 }
 
 // receive reads the head of the response to a request. It skips interim responses and
-// responses to other requests.
+// responses to other requests. On a reused connection, a response without an ID may be a
+// late copy of an earlier one.
 func (c *conn) receive(r *Request) (*http.Response, platform.TargetHeaders, error) {
 	for range maxStrayResponses + 1 {
 		c.limited.limited, c.limited.left = true, maxHeadBytes
@@ -162,7 +163,8 @@
 			continue
 		}
 		headers := platform.ParseTargetHeaders(response.StatusCode, response.Header)
-		if headers.Attempt == "" || headers.Attempt == r.Attempt {
+		reused := !c.idleSince.IsZero()
+		if headers.Attempt == r.Attempt || headers.Attempt == "" && !reused {
 			return response, headers, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
