Do not wait for the end of a rejection

Cause: the body of a response that says the request has not run was read to its end, to reuse the connection. A target that does not finish it held the request until its deadline. Change: the rest is read for at most 50 ms and 16 KiB; then the connection is reset. Conclusion: found by looking for answers that trickle.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -72,8 +72,7 @@
 // target uses the address, the target's group waits for another rank, or the target is
 // full.
 func (a *attempt) handleNotRun(ctx context.Context, response *target.Response) bool {
-	// Reading the body allows reuse of the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+	response.Discard()
 	outcome := admission.Full
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest && response.Headers.WaitsFor == "":
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -590,6 +590,21 @@
 	d.Assert(accepted, qt.Equals, 1)
 }
 
+// A target says that it has not run the request, and does not finish that response. The
+// request is sent to another target at once.
+func TestUnfinishedRejectionIsRetriedAtOnce(t *testing.T) {
+	rejecting := func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+		_, _ = io.WriteString(w.Conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: "+w.Attempt+"\r\nContent-Length: 9\r\n\r\nfull")
+	}
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": rejecting, "i-2": echo})
+	for i := range 4 { // Both targets are chosen.
+		began := time.Now()
+		a := d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: strconv.Itoa(i)})
+		d.Assert(a.status, qt.Equals, http.StatusOK)
+		d.Assert(time.Since(began) < testDeadline/2, qt.IsTrue)
+	}
+}
+
 // While a whole group of ranks is stalled, another rank would not respond sooner:
 // requests stay at their targets and receive late responses, without further attempts.
 func TestStalledGroupIsNotRetried(t *testing.T) {
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -22,6 +22,10 @@
 	// idleShare is the fraction of the target's idle timeout for which a connection is
 	// reused, so that a request is not sent while the target closes it.
 	idleShare = 0.7
+	// discardTimeout and maxDiscardBytes bound the rest of a body that is read only to reuse
+	// its connection.
+	discardTimeout  = 50 * time.Millisecond
+	maxDiscardBytes = 16 << 10
 	// maxIdle bounds the number of idle connections to one address.
 	maxIdle = 16
 )
@@ -64,6 +68,17 @@
 	Reused bool
 }
 
+// Discard reads the rest of the body, so that the connection can be reused. It gives up
+// after discardTimeout or maxDiscardBytes.
+func (r *Response) Discard() {
+	b, ok := r.Body.(*body)
+	if !ok || b.conn.net.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDiscardBytes)) // Close resets a connection with a rest.
+	_ = b.conn.net.SetReadDeadline(time.Time{})
+}
+
 // Pool holds idle connections to targets for reuse. The zero value is ready to use.
 type Pool struct {
 	mutex sync.Mutex
