Try first parts before deeper ones after a crash

Change: only requests that begin with a candidate are tried after 5 s. A first part belongs to all requests of a caller; a deeper one is held for 1 min if others may explain the crash. Measured: TestDeeperPartIsHeldWhileFirstPartIsTried fails on the parent.

--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -78,7 +78,7 @@
 	Report CrashReport
 	Change QuarantineChange
 	// Parts lists the parts that are refused because of the crash, and Hold for how long
-	// after it.
+	// after it at most.
 	Parts []string
 	Hold  time.Duration
 }
@@ -177,19 +177,17 @@
 	return count
 }
 
-// hold returns how long after a crash requests with a number of its candidates are
-// refused. Evidence is weak if several parts may have caused the crash and a request
-// contains one of them, or if a part was lost for the first time and its response had not
-// begun.
-func (q *quarantine) hold(c *CrashReport, candidates []string, repeated bool, matched []string) time.Duration {
-	offences := 0
-	for _, part := range matched {
-		offences = max(offences, q.offences(part))
-	}
+// hold returns how long after a crash requests with a part that may explain it are
+// refused. Evidence is weak if the part was lost for the first time and its response had
+// not begun. If there are other candidates, requests that begin with the part are tried
+// soon as well: a first part belongs to all requests of a caller, so it is less likely to
+// be harmful and costs most if it is refused.
+func (q *quarantine) hold(c *CrashReport, part string, alone, first, repeated bool) time.Duration {
+	offences := q.offences(part)
 	if repeated || len(c.Begun) == 0 {
 		offences--
 	}
-	if offences < 1 || len(candidates) > 1 && len(matched) == 1 {
+	if offences < 1 || first && !alone {
 		return shortHold
 	}
 	return min(maxHold, baseHold<<min(offences-1, 8))
@@ -215,28 +213,24 @@
 			continue
 		}
 		candidates, repeated := q.candidates(c)
-		var matched []string
-		for _, part := range candidates {
-			if slices.Contains(parts, part) {
-				matched = append(matched, part)
+		for i, part := range parts {
+			if !slices.Contains(candidates, part) {
+				continue
 			}
+			hold := q.hold(c, part, len(candidates) == 1, i == 0, repeated)
+			until := c.At.Add(hold)
+			if hold > shortHold && c.Reporter != q.instance {
+				until = until.Add(reporterLead)
+			}
+			if !at.Before(until) {
+				v.onTrial = append(v.onTrial, part)
+				continue
+			}
+			if until.After(v.until) {
+				v.until = until
+			}
+			v.certain = v.certain || hold > shortHold
 		}
-		if len(matched) == 0 {
-			continue
-		}
-		hold := q.hold(c, candidates, repeated, matched)
-		until := c.At.Add(hold)
-		if hold > shortHold && c.Reporter != q.instance {
-			until = until.Add(reporterLead)
-		}
-		if !at.Before(until) {
-			v.onTrial = append(v.onTrial, matched...)
-			continue
-		}
-		if until.After(v.until) {
-			v.until = until
-		}
-		v.certain = v.certain || hold > shortHold
 	}
 	return v
 }
@@ -301,8 +295,9 @@
 		change.Change = CrashRefuted
 	}
 	var repeated bool
-	if change.Parts, repeated = q.candidates(c); len(change.Parts) > 0 {
-		change.Hold = q.hold(c, change.Parts, repeated, change.Parts[:1])
+	change.Parts, repeated = q.candidates(c)
+	for _, part := range change.Parts {
+		change.Hold = max(change.Hold, q.hold(c, part, len(change.Parts) == 1, false, repeated))
 	}
 	return []Effect{change}
 }
--- a/shared/admission/quarantine_test.go
+++ b/shared/admission/quarantine_test.go
@@ -221,6 +221,27 @@
 	p.Assert(p.admitted("shared", "bad"), qt.IsFalse)
 }
 
+// Two responses have begun when a target crashes, and nothing is known of one part of
+// each. The part that begins a prompt is tried first; its answer leaves the other one.
+func TestDeeperPartIsHeldWhileFirstPartIsTried(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	p.answer("shared")
+	first, _ := p.submit("new")
+	p.now = p.now.Add(100 * time.Millisecond)
+	target := p.targets[first]
+	p.lose(first, true)
+	second, _ := p.submit("shared", "bad")
+	p.targets[second] = target
+	p.lose(second, true)
+	p.Assert(p.admitted("new"), qt.IsFalse)
+	p.now = p.now.Add(shortHold)
+	p.Assert(p.admitted("shared", "bad"), qt.IsFalse)
+	p.answer("new")
+	p.Assert(p.admitted("shared", "bad"), qt.IsFalse)
+	p.now = p.now.Add(baseHold)
+	p.Assert(p.admitted("shared", "bad"), qt.IsTrue)
+}
+
 // While a group waits for a crashed rank, all its ranks cut their requests off.
 func TestCutsOfAStalledGroupAreNoCrashes(t *testing.T) {
 	c := qt.New(t)
