Let requests crash replicas in the soak

Cause: no fault of the soak came from a request. Change: while faults are injected, and for 4 s after, one of six streams has a part of its prompt that crashes the replica that begins to answer it; the replica is back after 0.7 s. Check: once five crashes were 3 s ago, at most three such requests may reach replicas.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,6 +42,18 @@
 	// sendInterval is the pause between the requests of a caller, and between the
 	// events of a stream.
 	sendInterval = 40 * time.Millisecond
+	// harmfulPart is the part of a prompt that crashes replicas. While it is in use, one of
+	// harmfulShare streams contains it.
+	harmfulPart  = "harmful"
+	harmfulShare = 6
+	// restartTime is how long a replica is down after a crash.
+	restartTime = 700 * time.Millisecond
+	// learningCrashes is how many crashes the routers may need to find the cause, and
+	// learningTime how long after the last of them. At most lateRequests harmful requests
+	// may reach replicas afterwards.
+	learningCrashes = 5
+	learningTime    = 3 * time.Second
+	lateRequests    = 3
 	// shownLogLines is the number of lines of each router's log that a failure shows.
 	shownLogLines = 4
 	key           = "key"
@@ -76,6 +88,8 @@
 	sent           int
 	// statuses counts responses by status; 0 is a request without a response.
 	statuses   map[int]int
+	harmful    bool        // Some streams contain harmfulPart.
+	harmfulAt  []time.Time // When requests that contain harmfulPart reached replicas.
 	faults     []string
 	violations []string
 }
@@ -104,11 +118,14 @@
 	for range callers {
 		group.Go(func() { s.runCaller(ctx) })
 	}
+	s.withLock(func() { s.harmful = true })
 	for until := time.Now().Add(*faultDuration); time.Now().Before(until); {
 		s.injectFault()
 		time.Sleep(time.Duration(50+s.random.IntN(500)) * time.Millisecond)
 	}
 	s.clearFaults()
+	time.Sleep(learningTime + time.Second) // Harmful requests go on without other faults.
+	s.withLock(func() { s.harmful = false })
 	s.Assert(s.waitUntilServing(), qt.IsTrue, qt.Commentf("seed %d: requests are not served after the last fault; faults: %s; logs: %s", seed, strings.Join(s.faults, ", "), s.logTails()))
 	stop()
 	group.Wait()
@@ -154,7 +171,8 @@
 }
 
 func (s *soak) addReplica(id string) {
-	r, err := platformtest.StartReplica(id, s.serveReplica)
+	i := len(s.replicas)
+	r, err := platformtest.StartReplica(id, func(w *platformtest.ResponseWriter, r platformtest.Run) { s.serveReplica(i, w, r) })
 	s.Assert(err, qt.IsNil)
 	p, err := newProxy(r.Address())
 	s.Assert(err, qt.IsNil)
@@ -169,8 +187,18 @@
 	s.store.PutTarget(s.replicas[i].ID, registration)
 }
 
+// crash crashes a replica and restarts it after restartTime.
+func (s *soak) crash(i int) {
+	s.withLock(func() { s.harmfulAt = append(s.harmfulAt, time.Now()) })
+	s.replicas[i].Crash()
+	time.AfterFunc(restartTime, func() {
+		s.replicas[i].Restart()
+		s.register(i, "ready")
+	})
+}
+
 // serveReplica handles a request at a replica: it records the execution and responds.
-func (s *soak) serveReplica(w *platformtest.ResponseWriter, r platformtest.Run) {
+func (s *soak) serveReplica(i int, w *platformtest.ResponseWriter, r platformtest.Run) {
 	s.mutex.Lock()
 	if strings.HasPrefix(r.URI, "/once/") {
 		s.runs[r.Attempt]++
@@ -185,6 +213,11 @@
 		firstEvent = 1 + int(r.LastEvent[0]-'0')
 	}
 	w.StartStream()
+	if strings.Contains(r.Prompt, harmfulPart) {
+		time.Sleep(5 * time.Millisecond)
+		s.crash(i)
+		return
+	}
 	for id := firstEvent; id <= streamEvents; id++ {
 		w.WriteEvent(id)
 		time.Sleep(sendInterval)
@@ -325,7 +358,13 @@
 // sendRequest sends one request and checks the response. It returns the status, or 0 if
 // there is no response.
 func (s *soak) sendRequest(client *http.Client, entry netip.AddrPort, path, attempt string) int {
-	request, err := platformtest.Call{Method: http.MethodPost, Path: path, Attempt: attempt, Key: key, Left: 2 * time.Second}.Request(context.Background(), entry)
+	prompt := "shared:40," + attempt + ":5"
+	s.withLock(func() {
+		if s.harmful && path == "/stream/" && s.sent%harmfulShare == 0 {
+			prompt = "shared:40," + harmfulPart + ":9," + attempt + ":5"
+		}
+	})
+	request, err := platformtest.Call{Method: http.MethodPost, Path: path, Attempt: attempt, Key: key, Left: 2 * time.Second, Prompt: prompt}.Request(context.Background(), entry)
 	s.Check(err, qt.IsNil)
 	s.withLock(func() { s.sent++ })
 	response, err := client.Do(request)
@@ -390,7 +429,14 @@
 			s.violations = append(s.violations, attempt+": executed although a response reported that it was not")
 		}
 	}
-	s.Logf("seed %d: %d sent, %d served, faults: %s; responses by status: %v", seed, s.sent, s.served, strings.Join(s.faults, ", "), s.statuses)
+	late := 0
+	for _, at := range s.harmfulAt {
+		if len(s.harmfulAt) >= learningCrashes && at.After(s.harmfulAt[learningCrashes-1].Add(learningTime)) {
+			late++
+		}
+	}
+	s.Check(late <= lateRequests, qt.IsTrue, qt.Commentf("seed %d: %d requests that crash replicas reached them after the routers had time to learn; all at %v", seed, late, s.harmfulAt))
+	s.Logf("seed %d: %d crashes; %d sent, %d served, faults: %s; responses by status: %v", seed, len(s.harmfulAt), s.sent, s.served, strings.Join(s.faults, ", "), s.statuses)
 	s.Check(s.violations, qt.HasLen, 0, qt.Commentf("seed %d, faults: %s", seed, strings.Join(s.faults, ", ")))
 	s.Check(s.served > s.sent/4, qt.IsTrue, qt.Commentf("seed %d: %d of %d requests served, expected more than a quarter", seed, s.served, s.sent))
 }
