--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,11 @@
 test:
 	go test -count=1 $(PACKAGES)
 
+# Names of the platform's protocol, which only the adapter in platform/ may use.
+WIRE_NAMES := Attempt-Id|Request-Deadline|Expected-Instance|Server-Signature|Not-Executed|At-Server|Prompt-Prefix|/api/(report|order|picked|readiness|resolution|log-)|apiKeys|targetLatencyMs|coldRemainingMs
+
 lint:
+	@! git grep -nE '$(WIRE_NAMES)' -- '*.go' ':!platform/' || { echo "names of the platform's protocol outside platform/, expected none"; exit 1; }
 	@test -z "$$(git ls-files '*.go' | xargs gofmt -l)" || { git ls-files '*.go' | xargs gofmt -l; exit 1; }
 	go vet $(PACKAGES)
 	go run $(STATICCHECK) -checks inherit,ST1000,ST1005,ST1020,ST1021,ST1022 $$(go list $(PACKAGES) | grep -v /entry/api$$)
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -448,10 +448,10 @@
 // A response without a length ends with its connection. It is complete unless the
 // connection is reset.
 func TestResponsesWithoutLength(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Signature: s\r\n"
-	respond := func(text string, reset bool) platformtest.Handler {
+	const stream = "Content-Type: text/event-stream"
+	respond := func(text string, reset bool, headers ...string) platformtest.Handler {
 		return func(w *platformtest.ResponseWriter, _ platformtest.Run) {
-			_, _ = io.WriteString(w.Conn, text)
+			w.WriteUnframed(text, headers...)
 			time.Sleep(20 * time.Millisecond)
 			if reset {
 				w.Reset()
@@ -466,13 +466,13 @@
 		status int
 		body   string
 	}{
-		"whole body":      {nonIdempotentPath, respond(head+"\r\nwhole", false), http.StatusOK, "whole"},
-		"reset body":      {nonIdempotentPath, respond(head+"\r\nwhole", true), http.StatusBadGateway, ""},
-		"whole stream":    {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\n"+expectedStream(1, 3), false), http.StatusOK, expectedStream(1, 3)},
-		"stream in event": {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\n"+expectedStream(1, 3)+"id: 4\nda", false), http.StatusOK, expectedStream(1, 5)},
-		"line is whole":   {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\n"+expectedStream(1, 3)+"id: 4\ndata: event-4\n", false), http.StatusOK, expectedStream(1, 5)},
-		"reset stream":    {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\n"+expectedStream(1, 3), true), http.StatusOK, expectedStream(1, 5)},
-		"first event":     {streamPath, respond(head+"Content-Type: text/event-stream\r\n\r\nid: 1\nda", false), http.StatusOK, expectedStream(1, 5)},
+		"whole body":      {nonIdempotentPath, respond("whole", false), http.StatusOK, "whole"},
+		"reset body":      {nonIdempotentPath, respond("whole", true), http.StatusBadGateway, ""},
+		"whole stream":    {streamPath, respond(expectedStream(1, 3), false, stream), http.StatusOK, expectedStream(1, 3)},
+		"stream in event": {streamPath, respond(expectedStream(1, 3)+"id: 4\nda", false, stream), http.StatusOK, expectedStream(1, 5)},
+		"line is whole":   {streamPath, respond(expectedStream(1, 3)+"id: 4\ndata: event-4\n", false, stream), http.StatusOK, expectedStream(1, 5)},
+		"reset stream":    {streamPath, respond(expectedStream(1, 3), true, stream), http.StatusOK, expectedStream(1, 5)},
+		"first event":     {streamPath, respond("id: 1\nda", false, stream), http.StatusOK, expectedStream(1, 5)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var mutex sync.Mutex
@@ -579,8 +579,10 @@
 		first := served == 1
 		mutex.Unlock()
 		if !first {
-			_, _ = io.WriteString(w.Conn, "HTTP/1.1 200 OK\r\nServer-Signature: late\r\nContent-Length: 4\r\n\r\nlate")
+			w.Attempt = ""
+			w.WriteResponse(http.StatusOK, "late")
 			time.Sleep(20 * time.Millisecond)
+			w.Attempt = r.Attempt
 		}
 		echo(w, r)
 	}})
@@ -593,9 +595,7 @@
 // A target says that it has not run the request, and does not finish that response. The
 // request is sent to another target at once.
 func TestUnfinishedRejectionIsRetriedAtOnce(t *testing.T) {
-	rejecting := func(w *platformtest.ResponseWriter, _ platformtest.Run) {
-		_, _ = io.WriteString(w.Conn, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nAttempt-Id: "+w.Attempt+"\r\nContent-Length: 9\r\n\r\nfull")
-	}
+	rejecting := func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.RejectUnfinished() }
 	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": rejecting, "i-2": echo})
 	for i := range 4 { // Both targets are chosen.
 		began := time.Now()
