Keep older routers from reading a stored crash as a registration

Cause: crashes share the topic of entry instances. A router without them would decode such a record as a registration without a name, and count one instance too many for 15 s. Change: the incarnation is stored as a string, which a registration rejects. Measured: TestCrashIsNoRegistration; without the change the record decodes as an instance. Conclusion: found by reading; routers of both versions may run side by side.

--- a/shared/fleet/directory_test.go
+++ b/shared/fleet/directory_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -65,3 +66,13 @@
 	}
 	qt.Assert(t, counts, qt.DeepEquals, map[string]int{"a": 900, "b": 100})
 }
+
+func TestCrashIsNoRegistration(t *testing.T) {
+	c := qt.New(t)
+	raw, err := json.Marshal(Crash{Target: "t", Incarnation: 1, Reporter: "entry-a", Parts: []string{"p"}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(json.Unmarshal(raw, &Instance{}), qt.IsNotNil)
+	var again Crash
+	c.Assert(json.Unmarshal(raw, &again), qt.IsNil)
+	c.Assert(again.Incarnation, qt.Equals, uint64(1))
+}
--- a/shared/fleet/target.go
+++ b/shared/fleet/target.go
@@ -28,8 +28,10 @@
 
 // Crash is the record of a target's crash in the store.
 type Crash struct {
-	Target      string `json:"target"`
-	Incarnation uint64 `json:"incarnation"`
+	Target string `json:"target"`
+	// Incarnation is stored as a string, so that routers of versions without crashes do
+	// not take the record for a registration.
+	Incarnation uint64 `json:"incarnation,string"`
 	// At is the time of day of the crash, by the clock of the instance that reported it.
 	At       time.Time `json:"at"`
 	Reporter string    `json:"reporter"`
