--- a/operate/desk/commands.go
+++ b/operate/desk/commands.go
@@ -1,7 +1,6 @@
 package desk
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,7 +8,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -374,57 +372,3 @@
 		}
 	}
 }
-
-// logLine holds the fields of a JSON log line that explain prints.
-type logLine struct {
-	Fields struct {
-		Event    int               `json:"event"`
-		Instance string            `json:"instance"`
-		Request  string            `json:"request"`
-		Chosen   string            `json:"chosen"`
-		Reason   string            `json:"reason"`
-		Code     string            `json:"code"`
-		Weighed  []control.Weighed `json:"weighed"`
-	} `json:"fields"`
-	Timestamp time.Time `json:"timestamp"`
-	Message   string    `json:"message"`
-}
-
-// explain prints the log lines whose request ID contains the name argument, and
-// returns an error if there are none.
-func (c *cli) explain() error {
-	file, err := os.Open(c.options.file)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	scanner := bufio.NewScanner(file)
-	scanner.Buffer(nil, maxLogLineBytes)
-	found := 0
-	for scanner.Scan() {
-		var line logLine
-		if json.Unmarshal(scanner.Bytes(), &line) != nil || !strings.Contains(line.Fields.Request, c.options.name) {
-			continue
-		}
-		found++
-		if err := c.print(describeLogLine(line), line); err != nil {
-			return err
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		return err
-	}
-	if found == 0 {
-		return fmt.Errorf("%s contains no decision about request %q", c.options.file, c.options.name)
-	}
-	return nil
-}
-
-func describeLogLine(line logLine) string {
-	f := line.Fields
-	text := fmt.Sprintf("%s %s %s (%d): %s %s%s", line.Timestamp.Format(time.RFC3339Nano), f.Instance, line.Message, f.Event, f.Chosen, f.Reason, f.Code)
-	for _, w := range f.Weighed {
-		text += fmt.Sprintf("\n    weighed %s %.4f", w.Name, w.Score)
-	}
-	return text
-}
--- a/operate/desk/options.go
+++ b/operate/desk/options.go
@@ -50,7 +50,7 @@
 	"bring-back": {name: true, platform: true, help: "Allow new work in a data centre again."},
 	"status":     {entries: true, help: "Show the state of entries and of their peers."},
 	"watch":      {entries: true, help: "Print the status each second."},
-	"explain":    {name: true, file: true, help: "Print the decisions about one request from a log file."},
+	"explain":    {name: true, file: true, help: "Print the decisions about one request from a log file, and why it was refused."},
 }
 
 // commandOrder lists the commands in the order of the help text.
