Take no reset of an idle connection for a crash

Cause: targets close idle connections without notice and reset what is sent on them. Change: a loss before the response has begun counts only 30 ms after the request was sent.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -20,6 +20,10 @@
 
 var errBodyTooLong = errors.New("body of an error response exceeds the maximum of 256 KiB")
 
+// idleCloseTime is the time within which a target resets a request that is sent on a
+// connection that it has closed while it was idle. Reading a prompt takes longer.
+const idleCloseTime = 30 * time.Millisecond
+
 // attempt is one attempt to serve a request at a target.
 type attempt struct {
 	*exchange
@@ -249,6 +253,12 @@
 	}
 	a.router.core.HandleEvent(admission.AttemptResult{
 		ID: a.id, Service: a.service, Target: a.target.ID, Incarnation: a.target.Incarnation, Outcome: outcome, TimeToFirstOutput: timeToFirst,
-		Lost: outcome == admission.Broken && a.timeToFirst == 0 && target.ClosedByTarget(cause), Begun: a.begun,
+		Lost: outcome == admission.Broken && a.lostUnanswered(cause), Begun: a.begun,
 	})
 }
+
+// lostUnanswered reports whether the target closed the connection while it worked on the
+// request and had sent no output.
+func (a *attempt) lostUnanswered(cause error) bool {
+	return a.timeToFirst == 0 && target.ClosedByTarget(cause) && (a.begun || time.Since(a.began) > idleCloseTime)
+}
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -535,6 +535,17 @@
 	d.Assert(time.Since(began) < 2500*time.Millisecond, qt.IsTrue)
 }
 
+// A target closes idle connections without notice, and resets what is sent on them. That is
+// no crash, and the request is sent to another target.
+func TestResetOfAnIdleConnectionIsNoCrash(t *testing.T) {
+	resetting := func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.Reset() }
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": resetting, "i-2": streamEvents(1, 2)})
+	for i := range 4 { // Both targets are chosen first.
+		a := d.mustCall(platformtest.Call{Path: streamPath, Attempt: strconv.Itoa(i), Prompt: "new" + strconv.Itoa(i) + ":9,own:5"})
+		d.Assert(a.status, qt.Equals, http.StatusOK)
+	}
+}
+
 // All instances restart after a crash. The request that caused it is still refused.
 func TestCrashIsKnownAfterAllInstancesRestart(t *testing.T) {
 	handlers := make(map[string]platformtest.Handler)
