--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -353,29 +353,30 @@
 	d.Assert(platformtest.Attempt(a.header), qt.Equals, "a")
 }
 
+// crashOnPart returns a handler that streams two events, but crashes when it begins to
+// answer a request whose prompt contains a part.
+func crashOnPart(part string, crash func()) platformtest.Handler {
+	return func(w *platformtest.ResponseWriter, r platformtest.Run) {
+		if !strings.Contains(r.Prompt, part+":") {
+			streamEvents(1, 2)(w, r)
+			return
+		}
+		w.StartStream()
+		time.Sleep(5 * time.Millisecond) // The head of the response arrives first.
+		crash()
+	}
+}
+
 // Requests that share one part of their prompt crash each target that begins to answer
 // them.
 func TestRequestsThatCrashTargetsStopReachingThem(t *testing.T) {
 	handlers := make(map[string]platformtest.Handler)
 	var d *deployment
-	var mutex sync.Mutex
 	for i := range 8 {
 		id := "i-" + strconv.Itoa(i)
-		handlers[id] = func(w *platformtest.ResponseWriter, r platformtest.Run) {
-			if !strings.Contains(r.Prompt, "bad:") {
-				streamEvents(1, 2)(w, r)
-				return
-			}
-			w.StartStream()
-			time.Sleep(5 * time.Millisecond) // The head of the response arrives first.
-			mutex.Lock()
-			defer mutex.Unlock()
-			d.replicas[id].Close()
-		}
+		handlers[id] = crashOnPart("bad", func() { d.replicas[id].Close() })
 	}
-	mutex.Lock()
 	d = deploy(t, 2, handlers)
-	mutex.Unlock()
 	d.eventually("both instances know each other", func() bool {
 		for _, r := range d.routers {
 			if len(r.entries.Callers()) != len(d.routers) {
@@ -552,15 +553,7 @@
 	var d *deployment
 	for i := range 3 {
 		id := "i-" + strconv.Itoa(i)
-		handlers[id] = func(w *platformtest.ResponseWriter, r platformtest.Run) {
-			if !strings.Contains(r.Prompt, "bad:") {
-				streamEvents(1, 2)(w, r)
-				return
-			}
-			w.StartStream()
-			time.Sleep(5 * time.Millisecond)
-			d.replicas[id].Close()
-		}
+		handlers[id] = crashOnPart("bad", func() { d.replicas[id].Close() })
 	}
 	d = deploy(t, 1, handlers)
 	crashing := platformtest.Call{Path: streamPath, Attempt: "a", Prompt: "bad:9,own:5"}
