Test that a planned stop under load answers what has run

Change: 24 callers use their connections until the process is gone; each request that ran at the target must be answered.

--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -864,6 +864,48 @@
 	}
 }
 
+// Callers use their connections until the process is gone. Each request that a target has
+// run is answered, also if it arrives just as the stop begins to close connections.
+func TestPlannedStopUnderLoadAnswersWhatHasRun(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": func(w *platformtest.ResponseWriter, r platformtest.Run) {
+		time.Sleep(3 * time.Millisecond)
+		echo(w, r)
+	}})
+	var mutex sync.Mutex
+	answered := make(map[string]bool)
+	var callers sync.WaitGroup
+	for i := range 24 {
+		client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+		callers.Go(func() {
+			failures := 0
+			for n := 0; failures < 5; n++ {
+				attempt := fmt.Sprintf("%d-%d", i, n)
+				request, err := platformtest.Call{Method: http.MethodPost, Path: nonIdempotentPath, Attempt: attempt, Key: testKey}.Request(context.Background(), d.routers[0].options.Callers)
+				if err != nil {
+					return
+				}
+				response, err := client.Do(request)
+				if err != nil {
+					failures++
+					continue
+				}
+				_ = response.Body.Close()
+				mutex.Lock()
+				answered[attempt] = true
+				mutex.Unlock()
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	d.stops[0]()
+	callers.Wait()
+	runs := d.replicas["i-1"].Runs()
+	d.Assert(len(runs) > 100, qt.IsTrue)
+	for _, r := range runs {
+		d.Check(answered[r.Attempt], qt.IsTrue, qt.Commentf("%s ran and was not answered", r.Attempt))
+	}
+}
+
 // An instance that cannot listen must end: otherwise it could hold the leadership without
 // serving any caller (found by the soak test, seed 4007).
 func TestServeFailsWhenAddressIsInUse(t *testing.T) {
