Test that slow streams are not cut and stalled ones end

Cause: both were reported by operators of similar systems, and neither had a test. Change: a stream with 0.6 s between events arrives whole; one that sends single bytes ends at its deadline, visibly cut.

--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -510,6 +510,37 @@
 	d.Assert(platformtest.Signed(a.header), qt.IsFalse)
 }
 
+func TestSlowStreamIsNotCut(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+		w.StartStream()
+		for id := range 4 {
+			w.WriteEvent(id + 1)
+			time.Sleep(600 * time.Millisecond)
+		}
+		w.EndStream()
+	}})
+	a := d.mustCall(platformtest.Call{Path: streamPath, Attempt: "a"})
+	d.Assert(a.cut, qt.IsFalse)
+	d.Assert(a.body, qt.Equals, expectedStream(1, 4))
+}
+
+// A target sends a byte now and then, and never a whole event.
+func TestStalledStreamEndsAtItsDeadline(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+		w.StartStream()
+		w.WriteEvent(1)
+		for range 100 {
+			w.WriteChunk(":")
+			time.Sleep(50 * time.Millisecond)
+		}
+	}})
+	began := time.Now()
+	a := d.mustCall(platformtest.Call{Path: streamPath, Attempt: "a", Left: time.Second})
+	d.Assert(a.cut, qt.IsTrue)
+	d.Assert(a.body, qt.Equals, expectedStream(1, 1))
+	d.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
+}
+
 // A caller stops reading. Its request ends at its deadline and leaves its target.
 func TestCallerThatStopsReadingReleasesItsTarget(t *testing.T) {
 	payload := strings.Repeat("x", 64<<10)
