--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -34,6 +34,8 @@
 	timeToFirst time.Duration
 	// begun reports whether the target has sent the head of a response.
 	begun bool
+	// rateLimit is the rate limit that the response names; see platform.TargetHeaders.
+	rateLimit float64
 	// timer expires at the attempt timeout; nil if only the request's deadline applies.
 	timer *time.Timer
 }
@@ -57,7 +59,7 @@
 		return a.retryOrEnd(ctx, admission.Broken, true, err)
 	}
 	defer response.Body.Close()
-	a.begun = true
+	a.begun, a.rateLimit = true, response.Headers.RateLimit
 	switch {
 	case response.Headers.NotRun:
 		return a.handleNotRun(ctx, response)
@@ -241,7 +243,7 @@
 func (a *attempt) reportOutcome(outcome admission.Outcome, cause error) {
 	fields := log.Fields{
 		"service": a.service, "target": a.target.ID, "outcome": outcome.String(), "begun": a.begun,
-		"took": time.Since(a.began).String(), "first": a.timeToFirst.String(), "lastEvent": a.lastEvent,
+		"took": time.Since(a.began).String(), "rateLimit": a.rateLimit, "first": a.timeToFirst.String(), "lastEvent": a.lastEvent,
 	}
 	if cause != nil {
 		fields["error"] = cause.Error()
