Keep to the limits that targets name, over all instances

Callers saw nothing, but a target that named a limit of 1.8 to 2.8 requests a second got 18 to 25 in 4 s. Cause: the routers passed the header on and read nothing of it; the class of fault is a control signal that no component is responsible for. The same cause elsewhere: Cold-Remaining of health responses is not read either, as the cold rate always applies.

The limit is decoded in the adapter, kept by target and incarnation in the reducer, and sent to the other instances at once when a response changes it; the newest response decides. The rate is split evenly between as many instances as may hold one token each within the bound, neighbours in the order of names (at least one target for each instance). The cold rate was split between all instances with a token each, which 17 instances exceed at 2.3 a second and 370 at the cold rate as well; it uses the same shares now. A share that moves begins empty, and an instance that falls silent keeps its share, for good if this one may be the one that is cut off. What no target can take in time is refused at once with the wait for a token.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -60,6 +60,7 @@
 	}
 	defer response.Body.Close()
 	a.begun, a.rateLimit = true, response.Headers.RateLimit
+	a.reportLimit(response)
 	switch {
 	case response.Headers.NotRun:
 		return a.handleNotRun(ctx, response)
@@ -74,6 +75,17 @@
 	}
 }
 
+// reportLimit reports the limit that the target's response names. Responses that the
+// target may have sent without consulting its service do not end a limit.
+func (a *attempt) reportLimit(response *target.Response) {
+	if a.rateLimit == 0 && (response.Headers.NotRun || !response.Headers.Signed) || response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	a.router.core.HandleEvent(admission.ResponseHead{Limit: admission.TargetLimit{
+		Target: a.target.ID, Incarnation: a.target.Incarnation, PerSecond: a.rateLimit, At: time.Now(),
+	}})
+}
+
 // handleNotRun handles a response that states that the request has not run: another
 // target uses the address, the target's group waits for another rank, or the target is
 // full.
--- a/router/caller/ratelimit_test.go
+++ b/router/caller/ratelimit_test.go
@@ -80,7 +80,11 @@
 		}
 		echo(w, r)
 	}
-	d := deploy(t, 3, map[string]platformtest.Handler{"i-1": limiting, "i-2": echo})
+	slower := func(w *platformtest.ResponseWriter, r platformtest.Run) {
+		time.Sleep(5 * time.Millisecond) // The limited target is preferred.
+		echo(w, r)
+	}
+	d := deploy(t, 3, map[string]platformtest.Handler{"i-1": limiting, "i-2": slower})
 	d.awaitMembership()
 	limited.Store(true)
 	failed := d.sendPaced("first", interval, time.Second)
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -90,8 +90,9 @@
 		options: options, logger: logger, store: platform.NewStore(options.Store), crashes: newCrashStore(),
 		core: core.New(core.Options{
 			Instance: options.Instance, DataCentre: options.DataCentre, Logger: logger,
-			RetryBudget:       admission.RetryBudget{Ratio: options.RetryRatio, Slack: options.RetrySlack},
-			QuarantineChanged: func(c admission.QuarantineChanged) { r.quarantineChanged(c) },
+			RetryBudget:        admission.RetryBudget{Ratio: options.RetryRatio, Slack: options.RetrySlack},
+			QuarantineChanged:  func(c admission.QuarantineChanged) { r.quarantineChanged(c) },
+			TargetLimitChanged: func() { r.entries.Broadcast() },
 		}),
 		self: fleet.Instance{
 			Name: options.Instance, DataCentre: options.DataCentre, Region: options.Region,
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -41,6 +41,9 @@
 	// QuarantineChanged is called, while the core is locked, when the evidence of crashes
 	// changes.
 	QuarantineChanged func(admission.QuarantineChanged)
+	// TargetLimitChanged is called, while the core is locked, when this instance learns
+	// from a response that a target's limit has changed.
+	TargetLimitChanged func()
 }
 
 // Decisions delivers the decisions on one request.
@@ -70,7 +73,6 @@
 	changeOffsets map[fleet.Topic]map[string]int64
 	requests      map[admission.RequestID]decisionSenders
 	next          admission.RequestID
-	entryCount    int
 
 	configuration    *fleet.Configuration    // The latest; nil before the first.
 	targets          map[string]fleet.Target // All readable registrations, by key.
@@ -83,7 +85,7 @@
 // New returns a Core without configuration or targets.
 func New(o Options) *Core {
 	c := &Core{
-		options: o, entryCount: 1,
+		options:       o,
 		admission:     admission.New(o.Instance, o.DataCentre, o.RetryBudget),
 		directory:     fleet.NewDirectory(),
 		changeOffsets: make(map[fleet.Topic]map[string]int64),
@@ -162,6 +164,12 @@
 				c.options.QuarantineChanged(d)
 			}
 			continue
+		case admission.TargetLimitChanged:
+			c.logTargetLimit(now, d)
+			if d.Peer == "" && c.options.TargetLimitChanged != nil {
+				c.options.TargetLimitChanged()
+			}
+			continue
 		}
 		if senders, ok := c.requests[id]; ok {
 			senders.next <- effect
@@ -177,6 +185,21 @@
 	})
 }
 
+func (c *Core) logTargetLimit(now time.Time, l admission.TargetLimitChanged) {
+	events.Log(c.options.Logger, events.TargetLimitChanged, log.Fields{
+		"target": l.Limit.Target, "incarnation": l.Limit.Incarnation, "perSecond": l.Limit.PerSecond, "previous": l.Previous,
+		"age": now.Sub(l.Limit.At).String(), "source": cmp.Or(l.Peer, "response"),
+	})
+}
+
+// TargetLimitsSince returns the limits of targets that have changed after a version, and
+// the current version; see admission.State.TargetLimitsSince.
+func (c *Core) TargetLimitsSince(version uint64) ([]admission.TargetLimit, uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.admission.TargetLimitsSince(version)
+}
+
 // OwnCrashes returns the crashes that this instance has reported; see
 // admission.State.OwnCrashes.
 func (c *Core) OwnCrashes() []admission.CrashReport {
@@ -219,16 +242,6 @@
 	return c.admission.Summaries()
 }
 
-// SetEntryCount sets the number of entry instances that share the targets.
-func (c *Core) SetEntryCount(count int) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if count != c.entryCount {
-		c.entryCount = count
-		c.publish(time.Now())
-	}
-}
-
 // End returns the offset after the last record of a topic that was read from the store.
 // Records from peers may have higher offsets.
 func (c *Core) End(topic fleet.Topic) int64 {
@@ -437,7 +450,7 @@
 	}
 	c.view.Store(view)
 	for name, s := range c.configuration.Services {
-		c.reduce(now, admission.ServiceTargets{Service: *s, Targets: view.Targets[name], EntryCount: c.entryCount})
+		c.reduce(now, admission.ServiceTargets{Service: *s, Targets: view.Targets[name]})
 	}
 }
 
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -44,7 +44,9 @@
 	// CrashEvidence returns the evidence of crashes and its version, without the evidence
 	// if the version is not newer than the given one.
 	CrashEvidence(since uint64) (admission.CrashEvidence, uint64)
-	SetEntryCount(count int)
+	// TargetLimitsSince returns the limits of targets that have changed after a version,
+	// and the current version.
+	TargetLimitsSince(version uint64) ([]admission.TargetLimit, uint64)
 }
 
 // Membership tracks the known entry instances and exchanges state with them.
@@ -79,6 +81,8 @@
 	unable       bool                  // Its last claim of leadership did not reach the store.
 	ends         map[fleet.Topic]int64 // The offsets up to which it has read the topics.
 	evidence     uint64                // The version of the crash evidence sent over the link.
+	limits       uint64                // The version of the targets' limits sent over the link.
+	sharing      bool                  // It shares limits with this instance; see sharingInstances.
 	cancel       context.CancelFunc    // Closes the link to it.
 	wake         chan struct{}         // Requests a state message at once.
 }
@@ -114,7 +118,7 @@
 	}
 	link, cancel := context.WithCancel(m.ctx)
 	mb = &member{
-		instance: i, lastSeen: time.Now(), stopping: i.Stopping, cancel: cancel,
+		instance: i, lastSeen: time.Now(), stopping: i.Stopping, sharing: !i.Stopping, cancel: cancel,
 		ends: make(map[fleet.Topic]int64), wake: make(chan struct{}, 1),
 	}
 	m.members[i.Name] = mb
@@ -173,7 +177,7 @@
 		return // Watch reports an unreachable instance after livenessTimeout.
 	}
 	defer link.Close()
-	mb.evidence = 0 // What was sent over an earlier link may be lost.
+	mb.evidence, mb.limits = 0, 0 // What was sent over an earlier link may be lost.
 	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Entry{Entry: m.stateFor(mb)}})
 	if err != nil {
 		return
@@ -212,6 +216,7 @@
 		state.Running[target] = int32(running)
 	}
 	m.addCrashEvidence(state, mb)
+	m.addTargetLimits(state, mb)
 	if received {
 		records := append(m.core.ChangedSince(fleet.OperatorTopic, operatorEnd), m.core.ChangedSince(fleet.TargetTopic, targetEnd)...)
 		for _, r := range records {
@@ -262,6 +267,35 @@
 	m.core.HandleEvent(evidence)
 }
 
+// addTargetLimits adds the limits of targets that are new to an instance to a state
+// message for it.
+func (m *Membership) addTargetLimits(state *peer.EntryUpdate, mb *member) {
+	var limits []admission.TargetLimit
+	limits, mb.limits = m.core.TargetLimitsSince(mb.limits)
+	now := time.Now()
+	for _, l := range limits {
+		state.Limits = append(state.Limits, &peer.TargetLimit{
+			Target: l.Target, Incarnation: l.Incarnation, PerSecond: l.PerSecond, AgeMs: now.Sub(l.At).Milliseconds(),
+		})
+	}
+}
+
+// applyTargetLimits applies the limits of targets that another instance knows.
+func (m *Membership) applyTargetLimits(state *peer.EntryUpdate) {
+	if len(state.GetLimits()) == 0 {
+		return
+	}
+	now := time.Now()
+	event := admission.PeerLimits{Peer: state.GetInstance()}
+	for _, l := range state.GetLimits() {
+		event.Limits = append(event.Limits, admission.TargetLimit{
+			Target: l.GetTarget(), Incarnation: l.GetIncarnation(), PerSecond: l.GetPerSecond(),
+			At: now.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond),
+		})
+	}
+	m.core.HandleEvent(event)
+}
+
 // Serve applies the state messages of one instance until its link ends.
 func (m *Membership) Serve(ctx context.Context, first *peer.EntryUpdate, stream *peer.Stream) {
 	state := first
@@ -336,7 +370,7 @@
 	if ok && mb.instance.Incarnation == state.GetIncarnation() {
 		recovered := time.Since(mb.received) > livenessTimeout
 		mb.received = time.Now()
-		mb.lastSeen = mb.received
+		mb.lastSeen, mb.sharing = mb.received, true
 		mb.stopping, mb.fencingToken, mb.unable = state.GetStopping(), state.GetDuty(), state.GetUnable()
 		mb.ends[fleet.OperatorTopic], mb.ends[fleet.TargetTopic] = state.GetOperatorEnd(), state.GetTargetEnd()
 		if recovered {
@@ -361,16 +395,18 @@
 		running[target] = int(count)
 	}
 	m.applyCrashEvidence(state)
+	m.applyTargetLimits(state)
 	m.core.HandleEvent(admission.GroupReport{Instance: state.GetInstance(), Closed: state.GetClosed(), Paces: state.GetPaces()})
 	m.core.HandleEvent(admission.PeerLoad{Peer: state.GetInstance(), Running: running})
 }
 
 // Watch sends a PeerLost event to the core when the state messages of an instance stop,
-// and updates the number of instances that share limits, until the context ends.
+// and updates the instances that share limits, until the context ends.
 func (m *Membership) Watch(ctx context.Context) {
 	ticker := time.NewTicker(stateInterval)
 	defer ticker.Stop()
 	timedOut := make(map[string]bool)
+	var sharing []string
 	for {
 		select {
 		case <-ctx.Done():
@@ -378,12 +414,10 @@
 		case <-ticker.C:
 		}
 		m.mutex.Lock()
-		now, count := time.Now(), 1
+		now := time.Now()
+		names := m.sharingInstances(now)
 		var lost []string
 		for name, mb := range m.members {
-			if now.Sub(mb.lastSeen) < expireAfter && !mb.stopping {
-				count++
-			}
 			isTimedOut := now.Sub(mb.lastSeen) > livenessTimeout
 			if isTimedOut && !timedOut[name] {
 				lost = append(lost, name)
@@ -395,8 +429,41 @@
 			events.Log(m.logger, events.EntriesChanged, log.Fields{"entry": name, "state": "silent"})
 			m.core.HandleEvent(admission.PeerLost{Peer: name})
 		}
-		m.core.SetEntryCount(count)
+		if !slices.Equal(names, sharing) {
+			sharing = names
+			events.Log(m.logger, events.EntriesChanged, log.Fields{"state": "sharing", "count": len(names)})
+			m.core.HandleEvent(admission.EntryInstances{Names: names})
+		}
+	}
+}
+
+// sharingInstances returns the sorted names of the instances that share limits, including
+// this one. An instance that falls silent keeps its share for expireAfter, and one that
+// was stopping until it is silent. An instance that hears at most half of the others may
+// be cut off itself, so it goes on sharing with all of them.
+func (m *Membership) sharingInstances(now time.Time) []string {
+	total, heard := 1, 1
+	for _, mb := range m.members {
+		if mb.sharing {
+			total++
+			if now.Sub(mb.received) < livenessTimeout {
+				heard++
+			}
+		}
+	}
+	cutOff := total > 1 && 2*heard <= total
+	names := []string{m.self.Name}
+	for name, mb := range m.members {
+		silent := now.Sub(mb.received) > livenessTimeout
+		if mb.stopping && silent || !cutOff && now.Sub(mb.lastSeen) > expireAfter {
+			mb.sharing = false
+		}
+		if mb.sharing {
+			names = append(names, name)
+		}
 	}
+	slices.Sort(names)
+	return names
 }
 
 // Callers lists the addresses for callers, sorted: this instance's, unless it is
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
+	"time"
 
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/fleet"
@@ -22,7 +24,9 @@
 func (emptyCore) Running() map[string]int                        { return nil }
 func (emptyCore) End(fleet.Topic) int64                          { return 0 }
 func (emptyCore) ChangedSince(fleet.Topic, int64) []fleet.Record { return nil }
-func (emptyCore) SetEntryCount(int)                              {}
+func (emptyCore) TargetLimitsSince(uint64) ([]admission.TargetLimit, uint64) {
+	return nil, 0
+}
 func (emptyCore) CrashEvidence(uint64) (admission.CrashEvidence, uint64) {
 	return admission.CrashEvidence{}, 0
 }
@@ -64,3 +68,43 @@
 		})
 	}
 }
+
+// An instance keeps its share of limits for expireAfter, so that one that was cut off and
+// the others do not exceed them together.
+func TestSharesOfSilentInstances(t *testing.T) {
+	others := func(names ...string) (states []*peer.EntryUpdate) {
+		for _, name := range names {
+			states = append(states, &peer.EntryUpdate{Instance: name})
+		}
+		return states
+	}
+	for name, row := range map[string]struct {
+		silent, stopping []string
+		silence          time.Duration
+		shares           []string
+	}{
+		"all heard":                        {silence: 0, shares: []string{"a", "b", "c", "d", "e"}},
+		"a minority is silent for a while": {silent: []string{"a", "e"}, silence: 5 * time.Second, shares: []string{"a", "b", "c", "d", "e"}},
+		"a minority is silent for long":    {silent: []string{"a", "e"}, silence: 20 * time.Second, shares: []string{"b", "c", "d"}},
+		"the majority is silent for long":  {silent: []string{"a", "c", "e"}, silence: 20 * time.Second, shares: []string{"a", "b", "c", "d", "e"}},
+		"all others are silent for long":   {silent: []string{"a", "c", "d", "e"}, silence: time.Minute, shares: []string{"a", "b", "c", "d", "e"}},
+		"one is stopping":                  {stopping: []string{"d"}, shares: []string{"a", "b", "c", "d", "e"}},
+		"one has stopped":                  {stopping: []string{"d"}, silent: []string{"d"}, silence: 3 * time.Second, shares: []string{"a", "b", "c", "e"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			m := newMembership(ctx, "b", others("a", "c", "d", "e")...)
+			for name, mb := range m.members {
+				if slices.Contains(row.silent, name) {
+					mb.received = mb.received.Add(-row.silence)
+					mb.lastSeen = mb.received
+				}
+				mb.stopping = slices.Contains(row.stopping, name)
+			}
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
+			qt.Assert(t, m.sharingInstances(time.Now()), qt.DeepEquals, row.shares)
+		})
+	}
+}
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -108,10 +108,12 @@
 	Service fleet.Service
 	// Targets lists the targets that may take new requests.
 	Targets []fleet.Target
-	// EntryCount is the number of known entry instances, including this one.
-	EntryCount int
 }
 
+// EntryInstances replaces the names of the entry instances that share limits, including
+// this one.
+type EntryInstances struct{ Names []string }
+
 // PeerLoad reports the requests that another entry instance runs, by target.
 type PeerLoad struct {
 	Peer    string
@@ -145,6 +147,7 @@
 func (AttemptResult) event()      {}
 func (StreamGap) event()          {}
 func (ServiceTargets) event()     {}
+func (EntryInstances) event()     {}
 func (PeerLoad) event()           {}
 func (PeerLost) event()           {}
 func (GroupReport) event()        {}
@@ -203,11 +206,13 @@
 	GroupClosed
 	// Quarantined means that a part of the prompt is suspected to crash targets.
 	Quarantined
+	// RateLimited means that the rates of all targets are used up for too long.
+	RateLimited
 )
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
-	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed", "quarantined"}[r]
+	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed", "quarantined", "rateLimited"}[r]
 }
 
 func (Dispatch) effect() {}
--- a/shared/admission/group_test.go
+++ b/shared/admission/group_test.go
@@ -13,7 +13,7 @@
 func newGroupState(now time.Time, slots int, ranks ...string) *State {
 	engine := testEngine()
 	engine.Slots = slots
-	update := ServiceTargets{Service: fleet.Service{Name: testService, Engine: &engine}, EntryCount: 1}
+	update := ServiceTargets{Service: fleet.Service{Name: testService, Engine: &engine}}
 	for _, id := range ranks {
 		update.Targets = append(update.Targets, fleet.Target{ID: id, Service: testService, Group: "g", Slots: slots})
 	}
--- a/shared/admission/limits_test.go
+++ b/shared/admission/limits_test.go
@@ -14,9 +14,14 @@
 // of instances and nothing of each other's requests.
 func newStates(entries int, service fleet.Service, targets ...fleet.Target) []*State {
 	var states []*State
-	for range entries {
-		st := New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 92})
-		st.Reduce(time.Unix(50, 0), ServiceTargets{Service: service, Targets: targets, EntryCount: entries})
+	names := make([]string, entries)
+	for i := range names {
+		names[i] = fmt.Sprintf("entry-%03d", i)
+	}
+	for _, name := range names {
+		st := New(name, "a", RetryBudget{Ratio: 0.2, Slack: 92})
+		st.Reduce(time.Unix(50, 0), EntryInstances{Names: names})
+		st.Reduce(time.Unix(50, 0), ServiceTargets{Service: service, Targets: targets})
 		states = append(states, st)
 	}
 	return states
@@ -27,26 +32,31 @@
 func TestColdRateIsSharedByInstances(t *testing.T) {
 	const coldRate = 38.0
 	service := fleet.Service{Name: testService, ColdRate: coldRate}
-	target := fleet.Target{ID: "t", Service: testService, Slots: 10000}
-	for _, entries := range []int{1, 4, 17} {
+	for _, row := range []struct{ entries, targets, perSecond int }{{1, 1, 1000}, {4, 1, 1000}, {17, 1, 1000}, {370, 100, 40}} {
 		c := qt.New(t)
-		sent := 0
-		now := time.Unix(50, 0)
-		for _, st := range newStates(entries, service, target) {
-			at := now
-			for i := range 1000 { // 1,000 requests per second on each instance.
-				at = at.Add(time.Millisecond)
+		var targets []fleet.Target
+		for i := range row.targets {
+			targets = append(targets, fleet.Target{ID: fmt.Sprintf("t%03d", i), Service: testService, Slots: 10000})
+		}
+		sent := make(map[string]int)
+		for _, st := range newStates(row.entries, service, targets...) {
+			at := time.Unix(50, 0)
+			for i := range row.perSecond {
+				at = at.Add(time.Second / time.Duration(row.perSecond))
 				effects := st.Reduce(at, Submit{Request: Request{ID: RequestID(i + 1), Service: testService, MaxAttempts: 1}})
 				for _, e := range append(effects, st.Reduce(at, Tick{})...) {
 					if d, ok := e.(Dispatch); ok {
-						sent++
+						sent[d.Target.ID]++
 						st.Reduce(at, Finish{ID: d.ID})
 					}
 				}
 			}
 		}
-		c.Assert(float64(sent) <= coldRate*1.5+5, qt.IsTrue, qt.Commentf("%d instances sent %d", entries, sent))
-		c.Assert(float64(sent) >= coldRate/2, qt.IsTrue, qt.Commentf("%d instances sent %d", entries, sent))
+		c.Assert(sent, qt.HasLen, row.targets)
+		for id, count := range sent {
+			c.Assert(float64(count) <= coldRate*1.5+5, qt.IsTrue, qt.Commentf("%d instances sent %d to %s", row.entries, count, id))
+			c.Assert(float64(count) >= coldRate/2, qt.IsTrue, qt.Commentf("%d instances sent %d to %s", row.entries, count, id))
+		}
 	}
 }
 
@@ -126,7 +136,7 @@
 func largeState(targets, peers int) *State {
 	engine := testEngine()
 	st := New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 234})
-	all := ServiceTargets{Service: fleet.Service{Name: testService, Engine: &engine}, EntryCount: peers + 1}
+	all := ServiceTargets{Service: fleet.Service{Name: testService, Engine: &engine}}
 	for i := range targets {
 		all.Targets = append(all.Targets, fleet.Target{ID: fmt.Sprintf("r%03d", i), Service: testService, Group: fmt.Sprint(i / 24), Slots: 10})
 	}
--- a/shared/admission/load_test.go
+++ b/shared/admission/load_test.go
@@ -130,7 +130,7 @@
 	st := New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 92})
 	one := []fleet.Target{{ID: "r1", Service: testService, Group: "g", Slots: 12}}
 	service := fleet.Service{Name: testService, Engine: &engine}
-	st.Reduce(now, ServiceTargets{Service: service, EntryCount: 1, Targets: one})
+	st.Reduce(now, ServiceTargets{Service: service, Targets: one})
 	effects := st.Reduce(now, Submit{Request: Request{
 		ID: 1, Service: testService, Objective: testObjective, MaxGap: testMaxGap, MaxAttempts: 2, Deadline: now.Add(8 * time.Second), Movable: true,
 	}})
@@ -139,7 +139,7 @@
 	now = now.Add(3 * time.Second)
 	c.Assert(st.Reduce(now, Tick{}), qt.HasLen, 0)
 	two := append(one, fleet.Target{ID: "r2", Service: testService, Group: "g", Slots: 12})
-	effects = st.Reduce(now, ServiceTargets{Service: service, EntryCount: 1, Targets: two})
+	effects = st.Reduce(now, ServiceTargets{Service: service, Targets: two})
 	c.Assert(effects, qt.HasLen, 1)
 	c.Assert(effects[0].(Dispatch).Target.ID, qt.Equals, "r2")
 }
--- a/shared/admission/quarantine_test.go
+++ b/shared/admission/quarantine_test.go
@@ -26,7 +26,7 @@
 
 func newPrompts(t *testing.T, instance string) *prompts {
 	p := &prompts{C: qt.New(t), state: New(instance, "a", RetryBudget{Ratio: 0.2, Slack: 92}), now: time.Unix(1000, 0), targets: make(map[RequestID]string)}
-	update := ServiceTargets{Service: fleet.Service{Name: testService}, EntryCount: 1}
+	update := ServiceTargets{Service: fleet.Service{Name: testService}}
 	for i := range 20 {
 		update.Targets = append(update.Targets, fleet.Target{ID: fmt.Sprintf("t%02d", i), Service: testService, Slots: 100, Incarnation: 1})
 	}
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -26,10 +26,12 @@
 // service holds the targets, the queue and the limits of one service.
 type service struct {
 	fleet.Service
-	targets      map[string]*target
-	targetIDs    []string // Sorted, so that choices are deterministic.
-	searchOffset int      // Where chooseTarget begins, modulo len(targetIDs).
-	waiting      queue
+	targets   map[string]*target
+	targetIDs []string // Sorted, so that choices are deterministic.
+	// targetsVersion increases with each change of targetIDs.
+	targetsVersion uint64
+	searchOffset   int // Where chooseTarget begins, modulo len(targetIDs).
+	waiting        queue
 	// passModels holds a model for each group; targets without a group share one.
 	passModels  map[string]*passModel
 	maxGap      time.Duration // Largest MaxGap of all requests so far.
@@ -66,7 +68,10 @@
 		kept[t.ID] = state
 	}
 	s.targets = kept
-	s.targetIDs = slices.Sorted(maps.Keys(kept))
+	if ids := slices.Sorted(maps.Keys(kept)); !slices.Equal(s.targetIDs, ids) {
+		s.targetIDs = ids
+		s.targetsVersion++
+	}
 }
 
 // passModelOf returns the model of a group's passes, and creates it if necessary.
@@ -186,14 +191,15 @@
 	var best *target
 	bestScore, bestRunning := 0.0, 0
 	for i := range s.targetIDs {
-		t := s.targets[s.targetIDs[(i+s.searchOffset)%len(s.targetIDs)]]
+		index := (i + s.searchOffset) % len(s.targetIDs)
+		t := s.targets[s.targetIDs[index]]
 		running := t.running + st.peerLoads.total(t.ID)
 		limit := limits(t)
 		if limit == 0 {
 			continue // Retries avoid excluded ranks as well.
 		}
 		limit += extra
-		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || t.exceedsColdRate(at, s.ColdRate, st.entryCount) {
+		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || st.rateWait(at, s, index) > 0 {
 			continue
 		}
 		// Free capacity is compared, because limits differ between groups.
@@ -207,9 +213,7 @@
 	}
 	if best != nil {
 		s.searchOffset++
-		if s.ColdRate > 0 {
-			best.coldTokens.take()
-		}
+		best.takeTokens()
 	}
 	return best, bestRunning
 }
@@ -228,6 +232,31 @@
 	return time.Duration(ahead+1) * s.finishInterval
 }
 
+// serviceRateWait returns how long the rates of all targets keep a request waiting behind a
+// number of others: 0 if some target that this instance may use has a token.
+func (st *State) serviceRateWait(at time.Time, s *service, ahead int) time.Duration {
+	first, perSecond := noToken, 0.0
+	limits := s.limits()
+	for i, id := range s.targetIDs {
+		t := s.targets[id]
+		if limits(t) == 0 {
+			continue
+		}
+		wait := st.rateWait(at, s, i)
+		if wait == 0 {
+			return 0
+		}
+		if wait < noToken {
+			first = min(first, wait)
+			perSecond += t.lowestRate()
+		}
+	}
+	if first == noToken || ahead == 0 {
+		return first
+	}
+	return first + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+}
+
 // recordFinish updates the interval between finished requests while others wait.
 func (s *service) recordFinish(at time.Time) {
 	if !s.lastFinish.IsZero() && s.waiting.length > 0 {
--- a/shared/admission/simulation_test.go
+++ b/shared/admission/simulation_test.go
@@ -117,7 +117,7 @@
 			targets[rank].Slots = 1000
 		}
 	}
-	p.reduce(ServiceTargets{Service: service, Targets: targets, EntryCount: 1})
+	p.reduce(ServiceTargets{Service: service, Targets: targets})
 	for p.now.Sub(p.start) < p.duration {
 		p.reportPaces()
 		p.pass()
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -44,7 +44,8 @@
 type State struct {
 	dataCentre   string
 	retryBudget  RetryBudget
-	entryCount   int
+	entries      entrySet
+	limits       targetLimits
 	services     map[string]*service
 	requests     map[RequestID]*activeRequest
 	peerLoads    peerLoads
@@ -56,7 +57,7 @@
 func New(instance, dataCentre string, retryBudget RetryBudget) *State {
 	return &State{
 		quarantine: quarantine{instance: instance},
-		dataCentre: dataCentre, retryBudget: retryBudget, entryCount: 1,
+		dataCentre: dataCentre, retryBudget: retryBudget, entries: newEntrySet(instance), limits: newTargetLimits(),
 		services: make(map[string]*service), requests: make(map[RequestID]*activeRequest), peerLoads: newPeerLoads(),
 		groupReports: make(map[string]GroupReport),
 	}
@@ -76,11 +77,21 @@
 	case StreamGap:
 		return st.observeGap(at, e)
 	case ServiceTargets:
-		st.entryCount = max(1, e.EntryCount)
 		s := st.service(e.Service.Name)
 		s.update(e)
 		s.setPaces(st.pace)
+		st.updateShares(at, s)
 		return st.dispatchWaiting(at, s)
+	case EntryInstances:
+		st.entries.set(e.Names)
+		for _, s := range st.services {
+			st.updateShares(at, s)
+		}
+		return nil
+	case ResponseHead:
+		return st.applyLimits(at, "", e.Limit)
+	case PeerLimits:
+		return st.applyLimits(at, e.Peer, e.Limits...)
 	case PeerLoad:
 		st.peerLoads.set(e.Peer, e.Running)
 		return st.dispatchAllWaiting(at)
@@ -189,7 +200,11 @@
 			return []Effect{d}
 		}
 	}
-	expected, allowedWait := s.expectedWait(ahead), s.allowedWait(r)
+	allowedWait := s.allowedWait(r)
+	if wait := st.serviceRateWait(at, s, ahead); wait > allowedWait {
+		return []Effect{Refuse{ID: r.ID, RetryAfter: retryAfter(wait), Reason: RateLimited, Queued: s.waiting.length, ExpectedWait: wait}}
+	}
+	expected := s.expectedWait(ahead)
 	if expected > allowedWait {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: retryAfter(expected), Reason: QueueFull, Queued: s.waiting.length, ExpectedWait: expected}}
 	}
@@ -209,6 +224,16 @@
 	return false
 }
 
+// hasTarget reports whether a target takes new requests of any service.
+func (st *State) hasTarget(id string) bool {
+	for _, s := range st.services {
+		if _, ok := s.targets[id]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 func (st *State) setPaces() {
 	for _, s := range st.services {
 		s.setPaces(st.pace)
@@ -282,7 +307,7 @@
 		e.attemptsRun++
 	}
 	refuse := Refuse{ID: r.ID, RetryAfter: retryAfter(s.expectedWait(s.waiting.length)), Queued: s.waiting.length}
-	s.retryTokens.refill(at, 0, st.retryBudget.Slack*budgetShare/float64(st.entryCount))
+	s.retryTokens.refill(at, 0, st.retryBudget.Slack*budgetShare/float64(st.entries.count()))
 	defer func() { e.moving = false }()
 	quarantined := st.quarantined(at, e)
 	switch {
@@ -412,7 +437,7 @@
 		if !s.delaysGroup(t, st.peerLoads) {
 			continue
 		}
-		s.retryTokens.refill(at, 0, st.retryBudget.Slack*budgetShare/float64(st.entryCount))
+		s.retryTokens.refill(at, 0, st.retryBudget.Slack*budgetShare/float64(st.entries.count()))
 		if s.retryTokens.take() {
 			e.moving = true
 			effects = append(effects, Move{ID: id})
@@ -425,6 +450,7 @@
 // waited too long.
 func (st *State) tick(at time.Time) []Effect {
 	st.quarantine.forget(at)
+	st.limits.forget(at, st.hasTarget)
 	effects := st.dispatchAllWaiting(at)
 	for _, name := range slices.Sorted(maps.Keys(st.services)) {
 		s := st.services[name]
--- a/shared/admission/target.go
+++ b/shared/admission/target.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"chervilswitch.example/shared/fleet"
@@ -23,9 +24,6 @@
 	fullBackoff = 100 * time.Millisecond
 	// latencyWeight is the weight of the latest time to first output.
 	latencyWeight = 0.2
-	// coldBurst is the burst size of the cold rate, as a fraction of the requests that it
-	// allows per second.
-	coldBurst = 0.25
 )
 
 // target is the state of a target on this instance.
@@ -39,7 +37,9 @@
 	timeToFirstOutput  time.Duration
 	connectionFailures int       // Since the last success.
 	backoffUntil       time.Time // No requests are sent before this time.
-	coldTokens         tokenBucket
+	// coldRate and namedRate are the shares of the service's cold rate and of the limit
+	// that the target names.
+	coldRate, namedRate rateShare
 }
 
 // recordResult updates the target with the result of an attempt.
@@ -74,14 +74,49 @@
 	}
 }
 
-// exceedsColdRate reports whether this instance has used up its share of the target's
-// cold rate. The rate applies to warm targets as well, because a target may become cold
-// without reporting it.
-func (t *target) exceedsColdRate(at time.Time, rate float64, entryCount int) bool {
-	if rate <= 0 {
-		return false
+// rateWait returns how long this instance must wait until it may send a request to the
+// i-th target of a service: 0 if it may, noToken if it has no share of a rate. The cold
+// rate applies to warm targets as well, because a target may become cold without
+// reporting it.
+func (st *State) rateWait(at time.Time, s *service, i int) time.Duration {
+	t := s.targets[s.targetIDs[i]]
+	wait := time.Duration(0)
+	if s.ColdRate > 0 {
+		t.coldRate.update(at, coldRateBound, s.ColdRate, &st.entries, s, i)
+		wait = t.coldRate.wait(at)
 	}
-	share := rate / float64(max(1, entryCount))
-	t.coldTokens.refill(at, share, max(1, share*coldBurst))
-	return t.coldTokens.tokens < 1
+	limit := st.limits.perSecond(t)
+	if limit == 0 {
+		t.namedRate = rateShare{}
+		return wait
+	}
+	t.namedRate.update(at, namedRateBound, limit, &st.entries, s, i)
+	return max(wait, t.namedRate.wait(at))
+}
+
+// updateShares updates the shares of the rates of all targets of a service.
+func (st *State) updateShares(at time.Time, s *service) {
+	for i := range s.targetIDs {
+		st.rateWait(at, s, i)
+	}
+}
+
+// takeTokens counts a request against the target's rates.
+func (t *target) takeTokens() {
+	for _, r := range []*rateShare{&t.coldRate, &t.namedRate} {
+		if r.rate > 0 {
+			r.tokens.take()
+		}
+	}
+}
+
+// lowestRate returns this instance's share of the target's rates in requests per second.
+func (t *target) lowestRate() float64 {
+	lowest := math.Inf(1)
+	for _, r := range []*rateShare{&t.coldRate, &t.namedRate} {
+		if r.rate > 0 {
+			lowest = min(lowest, r.perSecond)
+		}
+	}
+	return lowest
 }
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -44,6 +44,7 @@
 	StreamResumed      Event = 2014
 	LimitsSummary      Event = 2015
 	QuarantineChanged  Event = 2016
+	TargetLimitChanged Event = 2017
 	DutyTaken          Event = 2203
 	DutyLeft           Event = 2204
 	SwitchPlanned      Event = 2205
@@ -89,6 +90,7 @@
 	StreamResumed:      "streamResumed",
 	LimitsSummary:      "limitsSummary",
 	QuarantineChanged:  "quarantineChanged",
+	TargetLimitChanged: "targetLimitChanged",
 	DutyTaken:          "dutyTaken",
 	DutyLeft:           "dutyLeft",
 	SwitchPlanned:      "switchPlanned",
