Log a digest of what makes two requests the same one

requestDispatched has digest: method, host, path, organisation and body, hashed.

Nothing is decided by the digest yet.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -59,7 +59,9 @@
 	service      string
 	maxBodyBytes int64
 	body         []byte
-	deadline     time.Time
+	// digest is equal for requests with the same route, content and organisation.
+	digest   string
+	deadline time.Time
 
 	id        admission.RequestID
 	decisions core.Decisions
@@ -164,8 +166,8 @@
 	x.attempts++
 	events.Log(x.logger, events.RequestDispatched, log.Fields{
 		"service": x.service, "route": x.route.Name, "organisation": x.organisation, "target": d.Target.ID,
-		"sharedParts": x.headers.SharedParts,
-		"attempt":     d.Attempt, "waited": d.Waited.String(), "running": d.Running, "limit": d.Limit, "version": x.version,
+		"sharedParts": x.headers.SharedParts, "digest": x.digest,
+		"attempt": d.Attempt, "waited": d.Waited.String(), "running": d.Running, "limit": d.Limit, "version": x.version,
 	})
 	a := attempt{exchange: x, target: d.Target, began: time.Now()}
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +15,7 @@
 	"chervilswitch.example/shared/fleet"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -107,9 +110,21 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.body = body
+	x.digest = x.contentDigest()
 	return true
 }
 
+// contentDigest returns a digest of what makes two requests the same one: method, host,
+// path with query, organisation and body.
+func (x *exchange) contentDigest() string {
+	digest := xxhash.New()
+	for _, part := range []string{x.request.Method, x.request.Host, x.request.RequestURI, x.organisation, string(x.body)} {
+		// The length keeps parts apart. Writing to a digest does not fail.
+		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
+	}
+	return strconv.FormatUint(digest.Sum64(), 16)
+}
+
 // serveReadiness reports to the platform whether this instance accepts callers.
 func (r *Router) serveReadiness(w http.ResponseWriter, request *http.Request) {
 	if request.URL.Path != platform.ReadinessPath {
