Refuse a request that crashes the targets that run it

Cause: the quarantine knew only shared parts of prompts, and requests of plain services have none; a retry or a repeat under a new id met a router that had learnt nothing. The same cause elsewhere: model requests whose parts are sound.

A request has an identity now (method, host, path, organisation, body) among the parts in the same evidence, so that it is shared by instances and kept in the store. Requests beside it are lost as well, so one crash convicts nothing; two that only it explains refuse it for a minute, three for an hour, and requests that were lost together twice run one at a time. An answer clears it. Requests that come once leave no memory; refuted reports are dropped first. Crashes are stored by target and incarnation, and remembered for an hour instead of 10 minutes.

--- a/operate/desk/explain.go
+++ b/operate/desk/explain.go
@@ -41,6 +41,7 @@
 	RetryAfter  string   `json:"retryAfter"`
 	Error       string   `json:"error"`
 	SharedParts []string `json:"sharedParts"`
+	Identity    string   `json:"identity"`
 	Change      string   `json:"change"`
 	Parts       []string `json:"parts"`
 	Hold        string   `json:"hold"`
@@ -124,7 +125,7 @@
 	var refused logLine
 	var parts []string
 	for _, line := range request {
-		parts = append(parts, line.Fields.SharedParts...)
+		parts = append(append(parts, line.Fields.SharedParts...), line.Fields.Identity)
 		if relatedEvents[reasonOf(line)] != nil {
 			refused = line
 		}
--- a/router/caller/crashes.go
+++ b/router/caller/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"time"
 
@@ -51,9 +52,7 @@
 func (r *Router) quarantineChanged(c admission.QuarantineChanged) {
 	r.metrics.recordQuarantine(c.Change.String())
 	r.entries.Broadcast()
-	if c.Report.Reporter == r.options.Instance {
-		r.crashes.notify()
-	}
+	r.crashes.notify() // Another instance's report may add to what this one's lead to.
 }
 
 // keepCrashes stores the crashes that this instance has reported, and removes them when
@@ -99,7 +98,7 @@
 		if err != nil {
 			return err // Unreachable: strings and numbers always encode.
 		}
-		known[crashKeyPrefix+c.Target] = string(raw)
+		known[crashKey(c)] = string(raw)
 	}
 	for key, value := range known {
 		if _, ok := stored[key]; ok && sameParts(stored[key], value) {
@@ -122,6 +121,11 @@
 	return nil
 }
 
+// crashKey returns the key of a crash in the store. A target may start again under its ID.
+func crashKey(c admission.CrashReport) string {
+	return crashKeyPrefix + c.Target + "/" + strconv.FormatUint(c.Incarnation, 10)
+}
+
 // sameParts reports whether two stored crashes name the same parts. Their times differ by
 // the conversion between clocks.
 func sameParts(a, b string) bool {
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -59,8 +59,8 @@
 	service      string
 	maxBodyBytes int64
 	body         []byte
-	// digest is equal for requests with the same route, content and organisation.
-	digest   string
+	// identity is equal for requests with the same content; see contentIdentity.
+	identity string
 	deadline time.Time
 
 	id        admission.RequestID
@@ -99,7 +99,7 @@
 	x.id, x.decisions = x.router.core.Submit(admission.Request{
 		Service: x.service, Organisation: x.organisation, Priority: x.priority,
 		Objective: x.route.Objective, Elapsed: elapsed, Deadline: x.deadline,
-		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(), SharedParts: x.headers.SharedParts,
+		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(), SharedParts: x.headers.SharedParts, Identity: x.identity,
 	})
 	defer x.router.core.Finish(x.id)
 	for {
@@ -124,7 +124,7 @@
 // handleRefusal ends a request for which the core has no target or no further attempt.
 func (x *exchange) handleRefusal(r admission.Refuse) {
 	events.Log(x.logger, events.RequestTurnedAway, log.Fields{
-		"service": x.service, "organisation": x.organisation, "sharedParts": x.headers.SharedParts, "reason": r.Reason.String(), "retryAfter": r.RetryAfter.String(),
+		"service": x.service, "organisation": x.organisation, "sharedParts": x.headers.SharedParts, "identity": x.identity, "reason": r.Reason.String(), "retryAfter": r.RetryAfter.String(),
 		"queued": r.Queued, "expectedWait": r.ExpectedWait.String(), "version": x.version, "mayHaveRun": x.mayHaveRun,
 	})
 	after := r.RetryAfter
@@ -166,7 +166,7 @@
 	x.attempts++
 	events.Log(x.logger, events.RequestDispatched, log.Fields{
 		"service": x.service, "route": x.route.Name, "organisation": x.organisation, "target": d.Target.ID,
-		"sharedParts": x.headers.SharedParts, "digest": x.digest,
+		"sharedParts": x.headers.SharedParts, "identity": x.identity,
 		"attempt": d.Attempt, "waited": d.Waited.String(), "running": d.Running, "limit": d.Limit, "version": x.version,
 	})
 	a := attempt{exchange: x, target: d.Target, began: time.Now()}
--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -6,11 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"chervilswitch.example/platform"
+	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
 
@@ -110,19 +110,19 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.body = body
-	x.digest = x.contentDigest()
+	x.identity = x.contentIdentity()
 	return true
 }
 
-// contentDigest returns a digest of what makes two requests the same one: method, host,
-// path with query, organisation and body.
-func (x *exchange) contentDigest() string {
+// contentIdentity returns the identity of what makes two requests the same one: method,
+// host, path with query, organisation and body.
+func (x *exchange) contentIdentity() string {
 	digest := xxhash.New()
 	for _, part := range []string{x.request.Method, x.request.Host, x.request.RequestURI, x.organisation, string(x.body)} {
 		// The length keeps parts apart. Writing to a digest does not fail.
 		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
 	}
-	return strconv.FormatUint(digest.Sum64(), 16)
+	return admission.Identity(digest.Sum64())
 }
 
 // serveReadiness reports to the platform whether this instance accepts callers.
--- a/shared/admission/enforce.go
+++ b/shared/admission/enforce.go
@@ -15,18 +15,18 @@
 		effects = st.quarantine.recordOutput(at, at.Add(-e.TimeToFirstOutput), t)
 	}
 	r, ok := st.requests[e.ID]
-	if !ok || len(r.request.SharedParts) == 0 {
+	if !ok || len(r.parts) == 0 {
 		return effects
 	}
 	switch {
 	case e.TimeToFirstOutput > 0:
 		r.answered = true
-		return append(effects, st.quarantine.recordSound(at, r.request.SharedParts)...)
+		return append(effects, st.quarantine.recordSound(at, r.parts)...)
 	case !e.Lost || known && s.stalled(at, t.Group):
 		// A group that stalls cuts off the requests of all its ranks.
 		return effects
 	}
-	report := CrashReport{Target: e.Target, Incarnation: e.Incarnation, At: at, Reporter: st.quarantine.instance, Waiting: r.request.SharedParts}
+	report := CrashReport{Target: e.Target, Incarnation: e.Incarnation, At: at, Reporter: st.quarantine.instance, Waiting: r.parts}
 	if e.Begun {
 		report.Begun, report.Waiting = report.Waiting, nil
 	}
@@ -40,7 +40,7 @@
 	if !st.quarantine.active() || e.answered {
 		return 0
 	}
-	v := st.quarantine.judge(at, e.request.SharedParts)
+	v := st.quarantine.judge(at, e.parts)
 	if v.until.After(at) {
 		return v.until.Sub(at)
 	}
@@ -48,7 +48,7 @@
 		return 0
 	}
 	for _, other := range st.requests {
-		if other != e && !other.answered && containsAny(other.request.SharedParts, v.onTrial) {
+		if other != e && !other.answered && containsAny(other.parts, v.onTrial) {
 			return trialRetryAfter
 		}
 	}
@@ -65,7 +65,7 @@
 	effects := changes
 	for _, id := range slices.Sorted(maps.Keys(st.requests)) {
 		e := st.requests[id]
-		v := st.quarantine.judge(at, e.request.SharedParts)
+		v := st.quarantine.judge(at, e.parts)
 		switch {
 		case e.answered || !v.until.After(at):
 		case e.target == "":
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"chervilswitch.example/shared/fleet"
@@ -33,6 +34,17 @@
 	Movable bool
 	// SharedParts lists the parts of the prompt that other requests may contain as well.
 	SharedParts []string
+	// Identity is equal for requests with the same content; empty if that is not known.
+	Identity string
+}
+
+// parts returns what may crash targets: the shared parts of the prompt, and last the
+// request itself.
+func (r *Request) parts() []string {
+	if r.Identity == "" {
+		return r.SharedParts
+	}
+	return append(slices.Clone(r.SharedParts), r.Identity)
 }
 
 // Event is an input of the reducer.
@@ -204,7 +216,8 @@
 	NoAttempts
 	// GroupClosed means that a group of the service waits for a missing rank.
 	GroupClosed
-	// Quarantined means that a part of the prompt is suspected to crash targets.
+	// Quarantined means that the request, or a part of its prompt, is suspected to crash
+	// targets.
 	Quarantined
 	// RateLimited means that the rates of all targets are used up for too long.
 	RateLimited
--- a/shared/admission/evidence.go
+++ b/shared/admission/evidence.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -12,6 +14,16 @@
 	maxSoundParts = 4096
 )
 
+// identityPrefix distinguishes identities of requests from parts of prompts, whose IDs
+// contain no colon.
+const identityPrefix = "request:"
+
+// Identity returns the identity of a request with a digest of its content. It stands for
+// the request among the parts in the evidence of crashes.
+func Identity(digest uint64) string { return identityPrefix + strconv.FormatUint(digest, 16) }
+
+func isIdentity(part string) bool { return strings.HasPrefix(part, identityPrefix) }
+
 // CrashReport describes a target that lost the connections of requests before it sent any
 // output for them. One of their parts may have crashed it.
 type CrashReport struct {
@@ -20,8 +32,8 @@
 	At          time.Time
 	// Reporter is the entry instance that lost the requests.
 	Reporter string
-	// Begun and Waiting list the shared parts of the lost requests: those whose response
-	// had begun, and all others.
+	// Begun and Waiting list the shared parts and the identities of the lost requests:
+	// those whose response had begun, and all others.
 	Begun, Waiting []string
 	// Refuted is true if the target sent output after the crash, so that there was none.
 	Refuted bool
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -16,7 +16,10 @@
 	baseHold = time.Minute
 	maxHold  = 5 * time.Minute
 	// EvidenceAge is the age at which a crash is forgotten.
-	EvidenceAge = 10 * time.Minute
+	EvidenceAge = time.Hour
+	// certainCrashes is the number of crashes that convict a request, whatever else was
+	// lost in them.
+	certainCrashes = 3
 	// reporterLead is how much earlier the reporter of a crash tries a part again than
 	// the other instances.
 	reporterLead = 10 * time.Second
@@ -65,8 +68,8 @@
 
 func (QuarantineChanged) effect() {}
 
-// quarantine decides which requests are refused because a part of their prompt crashes
-// targets. Its evidence consists of crashes and of the parts that were answered; what
+// quarantine decides which requests are refused because they crash targets: a part of
+// their prompt does so, or the request itself, which its identity stands for. Its evidence consists of crashes and of the parts that were answered; what
 // follows from it is computed when it is needed.
 type quarantine struct {
 	instance string
@@ -90,7 +93,7 @@
 	return own
 }
 
-// candidates returns the parts that explain a crash: those that were not answered after
+// candidates returns the parts of prompts that explain a crash: those that were not answered after
 // it, nor shortly before it. If there are none, a part that was answered before may have
 // become harmful; then it must have been lost in an earlier crash as well, and not have
 // been answered since.
@@ -100,6 +103,9 @@
 	}
 	var again []string
 	for _, part := range c.suspects() {
+		if isIdentity(part) {
+			continue
+		}
 		sound := q.lastSound(part)
 		switch {
 		case sound.After(c.At):
@@ -166,9 +172,12 @@
 
 // judge returns the verdict on requests that contain the parts.
 func (q *quarantine) judge(at time.Time, parts []string) (v verdict) {
-	if len(parts) == 0 {
+	if len(parts) == 0 || !q.active() {
 		return v
 	}
+	if last := parts[len(parts)-1]; isIdentity(last) {
+		v = q.judgeIdentity(at, last)
+	}
 	for _, c := range q.crashes {
 		if !containsAny(c.suspects(), parts) {
 			continue
@@ -196,6 +205,63 @@
 	return v
 }
 
+// crashesOf returns the crashes that a request may have caused since it was last answered,
+// oldest first.
+func (q *quarantine) crashesOf(identity string) (crashes []*CrashReport) {
+	sound := q.lastSound(identity)
+	for _, c := range q.crashes {
+		if !c.Refuted && c.At.After(sound) && slices.Contains(c.suspects(), identity) {
+			crashes = append(crashes, c)
+		}
+	}
+	return crashes
+}
+
+// lostTogether returns the other requests that may have caused all of the crashes.
+func (q *quarantine) lostTogether(identity string, crashes []*CrashReport) (others []string) {
+	for _, other := range crashes[0].suspects() {
+		if isIdentity(other) && other != identity && len(q.crashesOf(other)) >= len(crashes) {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
+// identityHold returns how long after the last of its crashes a request is refused: 0 if
+// it is tried again, together with the requests that must not run beside it. Requests that
+// run on a target when another one crashes it are lost as well. So a request is convicted
+// by two crashes that only it explains.
+func (q *quarantine) identityHold(identity string, crashes []*CrashReport) (hold time.Duration, apart []string) {
+	switch {
+	case len(crashes) >= certainCrashes:
+		return EvidenceAge, nil
+	case len(crashes) < certainCrashes-1:
+		return 0, []string{identity}
+	}
+	if others := q.lostTogether(identity, crashes); len(others) > 0 {
+		return 0, append(others, identity)
+	}
+	return baseHold, nil
+}
+
+// judgeIdentity returns the verdict on a request that is the same as lost ones.
+func (q *quarantine) judgeIdentity(at time.Time, identity string) (v verdict) {
+	crashes := q.crashesOf(identity)
+	if len(crashes) == 0 {
+		return v
+	}
+	hold, apart := q.identityHold(identity, crashes)
+	last := crashes[len(crashes)-1]
+	until := last.At.Add(hold)
+	if hold > 0 && last.Reporter != q.instance {
+		until = until.Add(reporterLead)
+	}
+	if !at.Before(until) {
+		return verdict{onTrial: append(apart, identity)}
+	}
+	return verdict{until: until, certain: true}
+}
+
 // recordSound notes that a target answered the parts. It returns a change for each crash
 // that they no longer explain.
 func (q *quarantine) recordSound(at time.Time, parts []string) []Effect {
@@ -206,17 +272,31 @@
 		}
 		candidates, _ := q.candidates(c)
 		cleared := slices.DeleteFunc(candidates, func(part string) bool { return !slices.Contains(parts, part) })
+		cleared = append(cleared, q.openIdentities(c, parts)...)
 		if len(cleared) > 0 {
 			effects = append(effects, QuarantineChanged{Report: *c, Change: PartCleared, Parts: cleared})
 			q.version++
 		}
 	}
 	for _, part := range parts {
-		q.sound.record(at, part)
+		if !isIdentity(part) || q.suspected(part) { // Most requests come once.
+			q.sound.record(at, part)
+		}
 	}
 	return effects
 }
 
+// openIdentities returns the identities among the parts that may have caused a crash and
+// have not been answered since.
+func (q *quarantine) openIdentities(c *CrashReport, parts []string) (open []string) {
+	for _, part := range parts {
+		if isIdentity(part) && !c.Refuted && slices.Contains(c.suspects(), part) && !q.lastSound(part).After(c.At) {
+			open = append(open, part)
+		}
+	}
+	return open
+}
+
 // recordOutput notes that a target sent output at a time for a request that began at
 // another, which shows that it has not crashed in between.
 func (q *quarantine) recordOutput(at, began time.Time, t *target) []Effect {
@@ -247,8 +327,9 @@
 		return nil
 	}
 	slices.SortStableFunc(q.crashes, func(a, b *CrashReport) int { return a.At.Compare(b.At) })
-	if extra := len(q.crashes) - maxCrashes; extra > 0 {
-		q.crashes = slices.Delete(q.crashes, 0, extra)
+	if len(q.crashes) > maxCrashes {
+		oldest := max(0, slices.IndexFunc(q.crashes, func(c *CrashReport) bool { return c.Refuted }))
+		q.crashes = slices.Delete(q.crashes, oldest, oldest+1)
 	}
 	q.version++
 	change := QuarantineChanged{Report: *c, Change: CrashReported}
@@ -260,6 +341,12 @@
 	for _, part := range change.Parts {
 		change.Hold = max(change.Hold, q.hold(c, part, len(change.Parts) == 1, false, repeated))
 	}
+	for _, identity := range q.openIdentities(c, c.suspects()) {
+		if hold, _ := q.identityHold(identity, q.crashesOf(identity)); hold > 0 {
+			change.Parts = append(change.Parts, identity)
+			change.Hold = max(change.Hold, hold)
+		}
+	}
 	return []Effect{change}
 }
 
@@ -306,15 +393,25 @@
 	})
 }
 
-// own returns the crashes that this instance has reported with begun responses, with the
-// parts that still explain them in Begun.
+// own returns the crashes that this instance has reported and that lead to refusals, with
+// the parts that explain them in Begun: those of prompts whose response had begun, and
+// requests that are convicted.
 func (q *quarantine) own() []CrashReport {
 	var reports []CrashReport
 	for _, c := range q.crashes {
-		if c.Reporter != q.instance || len(c.Begun) == 0 {
+		if c.Reporter != q.instance {
 			continue
 		}
-		if parts, _ := q.candidates(c); len(parts) > 0 {
+		var parts []string
+		if len(c.Begun) > 0 {
+			parts, _ = q.candidates(c)
+		}
+		for _, identity := range q.openIdentities(c, c.suspects()) {
+			if hold, _ := q.identityHold(identity, q.crashesOf(identity)); hold > 0 {
+				parts = append(parts, identity)
+			}
+		}
+		if len(parts) > 0 {
 			report := *c
 			report.Begun, report.Waiting = parts, nil
 			reports = append(reports, report)
--- a/shared/admission/queue.go
+++ b/shared/admission/queue.go
@@ -9,6 +9,7 @@
 // activeRequest is a request that waits or runs.
 type activeRequest struct {
 	request     Request
+	parts       []string  // See Request.parts.
 	queuedSince time.Time // Time of submission, or of the last retry that had to wait.
 	attempts    int
 	// attemptsRun counts the attempts that a target may have executed.
