Refuse a model request after one crash if only its response had begun

With two crashes needed, a deadly model request stopped its group twice for 3.8 s. A target begins a response before it crashes, so if only one of the lost responses had begun, its request explains the crash (its parts are sound, or are refused as well). A request that only began when its target died of another cause is refused for a minute.

--- a/shared/admission/identity_test.go
+++ b/shared/admission/identity_test.go
@@ -66,6 +66,28 @@
 	}
 }
 
+// A target begins a response before it crashes. If it has begun only one, with parts that are
+// sound, one crash is enough.
+func TestOnlyRequestWithBegunResponseIsRefused(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	p.answer("sound")
+	submit := func(digest uint64) (RequestID, []Effect) {
+		p.next++
+		return p.next, p.reduce(Submit{Request: Request{
+			ID: p.next, Service: testService, MaxAttempts: 2, Deadline: p.now.Add(time.Second), Movable: true,
+			SharedParts: []string{"sound"}, Identity: Identity(digest),
+		}})
+	}
+	waiting, _ := submit(testDigest + 1)
+	harmful, _ := submit(testDigest)
+	p.lose(waiting, false)
+	effects := p.lose(harmful, true)
+	p.Assert(effects[0].(Refuse).Reason, qt.Equals, Quarantined)
+	_, effects = submit(testDigest)
+	p.Assert(effects[0].(Refuse).RetryAfter, qt.Equals, baseHold)
+	p.Assert(p.admitted("sound"), qt.IsTrue)
+}
+
 // A request that ran beside the harmful one is sent again, and is cleared by its answer.
 func TestRequestLostBesideAHarmfulOneIsServed(t *testing.T) {
 	p := newPrompts(t, "entry-a")
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -230,12 +230,14 @@
 // identityHold returns how long after the last of its crashes a request is refused: 0 if
 // it is tried again, together with the requests that must not run beside it. Requests that
 // run on a target when another one crashes it are lost as well. So a request is convicted
-// by two crashes that only it explains.
+// by two crashes that only it explains, or by one if only its response had begun.
 func (q *quarantine) identityHold(identity string, crashes []*CrashReport) (hold time.Duration, apart []string) {
 	switch {
+	case len(crashes) == 0:
+		return 0, nil
 	case len(crashes) >= certainCrashes:
 		return EvidenceAge, nil
-	case len(crashes) < certainCrashes-1:
+	case len(crashes) < certainCrashes-1 && (len(crashes[0].Begun) == 0 || len(q.lostTogether(identity, crashes)) > 0):
 		return 0, []string{identity}
 	}
 	if others := q.lostTogether(identity, crashes); len(others) > 0 {
@@ -290,7 +292,7 @@
 // have not been answered since.
 func (q *quarantine) openIdentities(c *CrashReport, parts []string) (open []string) {
 	for _, part := range parts {
-		if isIdentity(part) && !c.Refuted && slices.Contains(c.suspects(), part) && !q.lastSound(part).After(c.At) {
+		if isIdentity(part) && !c.Refuted && slices.Contains(c.suspects(), part) && c.At.After(q.lastSound(part)) {
 			open = append(open, part)
 		}
 	}
