--- a/operate/desk/explain.go
+++ b/operate/desk/explain.go
@@ -53,6 +53,10 @@
 	State       string   `json:"state"`
 	DataCentre  string   `json:"dataCentre"`
 	Dependency  string   `json:"dependency"`
+	// PerSecond is the limit that a target named; nil in lines of other events.
+	PerSecond *float64 `json:"perSecond"`
+	Source    string   `json:"source"`
+	Count     int      `json:"count"`
 }
 
 // relatedEvents lists, by the reason for which a router refused a request, the events that
@@ -67,8 +71,12 @@
 	"noConfiguration": {events.Started, events.DependencyLost},
 	"noRouteStale":    {events.DependencyLost},
 	"unknownKeyStale": {events.DependencyLost},
+	"rateLimited":     {events.TargetLimitChanged, events.EntriesChanged},
 }
 
+// sharingState is the state of an EntriesChanged line about how many instances share limits.
+const sharingState = "sharing"
+
 // explain prints the log lines whose request ID contains the name argument, and the newest
 // lines before them that tell why the request was refused. It returns an error if there
 // are none about the request.
@@ -133,14 +141,9 @@
 	related := relatedEvents[reasonOf(refused)]
 	newest := make(map[events.Event]logLine)
 	err := scanLog(log, func(line logLine) {
-		f := line.Fields
-		switch {
-		case !slices.Contains(related, f.Event) || line.Timestamp.After(refused.Timestamp):
-		case f.Event == events.QuarantineChanged && !slices.ContainsFunc(f.Parts, func(part string) bool { return slices.Contains(parts, part) }):
-		case f.Event == events.LimitsSummary && (f.Instance != refused.Fields.Instance || f.Service != refused.Fields.Service):
-		case f.Event == events.DependencyLost && f.Instance != refused.Fields.Instance:
-		case !line.Timestamp.Before(newest[f.Event].Timestamp):
-			newest[f.Event] = line
+		event := line.Fields.Event
+		if slices.Contains(related, event) && isCause(line, refused, parts) && !line.Timestamp.Before(newest[event].Timestamp) {
+			newest[event] = line
 		}
 	})
 	var causes []logLine
@@ -152,6 +155,28 @@
 	return causes, err
 }
 
+// isCause reports whether a line of a related event tells a cause of a refusal. parts are
+// those of the refused request, and its identity.
+func isCause(line, refused logLine, parts []string) bool {
+	f := line.Fields
+	if line.Timestamp.After(refused.Timestamp) {
+		return false
+	}
+	sameInstance := f.Instance == refused.Fields.Instance
+	switch f.Event {
+	case events.QuarantineChanged:
+		return slices.ContainsFunc(f.Parts, func(part string) bool { return slices.Contains(parts, part) })
+	case events.LimitsSummary:
+		return sameInstance && f.Service == refused.Fields.Service
+	case events.DependencyLost, events.TargetLimitChanged:
+		return sameInstance
+	case events.EntriesChanged:
+		return sameInstance && f.State == sharingState
+	default:
+		return true
+	}
+}
+
 // reasonOf returns why a router refused a request, if a line says so.
 func reasonOf(line logLine) string {
 	switch line.Fields.Event {
@@ -172,18 +197,25 @@
 			text += " " + value
 		}
 	}
-	status, limit := "", ""
+	status, limit, perSecond, count := "", "", "", ""
 	if f.Status != 0 {
 		status = strconv.Itoa(f.Status)
 	}
 	if f.Event == events.LimitsSummary {
 		limit = strconv.Itoa(f.Limit)
 	}
+	if f.PerSecond != nil {
+		perSecond = strconv.FormatFloat(*f.PerSecond, 'g', -1, 64)
+	}
+	if f.Count != 0 {
+		count = strconv.Itoa(f.Count)
+	}
 	for _, field := range []struct{ name, value string }{
 		{"service", f.Service}, {"group", f.Group}, {"target", f.Target}, {"state", f.State}, {"dataCentre", f.DataCentre},
 		{"outcome", f.Outcome}, {"status", status}, {"took", f.Took}, {"retryAfter", f.RetryAfter},
 		{"change", f.Change}, {"parts", strings.Join(f.Parts, ",")}, {"hold", f.Hold}, {"reporter", f.Reporter},
 		{"closed", strings.Join(f.Closed, ",")}, {"limit", limit}, {"gap", f.Gap}, {"dependency", f.Dependency}, {"error", f.Error},
+		{"perSecond", perSecond}, {"source", f.Source}, {"count", count},
 	} {
 		if field.value != "" {
 			text += fmt.Sprintf(" %s=%s", field.name, field.value)
