Do not refuse common requests that look like lost ones

Reading the fix with requests in mind that share path, caller and body (lookups without a body): after a reset of all targets' connections three of them could be taken for one request that crashed three targets, and the lookup would be refused for an hour; with one crash, only one at a time was admitted. A request that crashes each target is never answered. So a request that was answered in the minute before its first crash is common: it is refused only after three crashes without an answer, for 5 s, and then tried. Answered requests are kept by identity, apart from the parts, in the same bounds.

TestRequestsThatLookTheSameAreServed fails before the change (refused after one crash, by the rule of one at a time).

--- a/shared/admission/identity_test.go
+++ b/shared/admission/identity_test.go
@@ -138,6 +138,34 @@
 	p.Assert(p.refuses(testDigest), qt.IsFalse)
 }
 
+// Many requests look the same: their path, caller and body are equal. When targets die of
+// another cause, those that are lost do not make the others suspicious.
+func TestRequestsThatLookTheSameAreServed(t *testing.T) {
+	p := newPrompts(t, "entry-a")
+	for range 3 {
+		id, _ := p.submitSame(testDigest)
+		p.output(id)
+		p.reduce(Finish{ID: id})
+	}
+	for i := range certainCrashes {
+		p.now = p.now.Add(100 * time.Millisecond)
+		p.Assert(p.refuses(testDigest), qt.IsFalse)
+		first, _ := p.submitSame(testDigest)
+		second, refused := p.submitSame(testDigest)
+		p.Assert(refused, qt.IsNil) // Not one at a time either.
+		p.loseAll(fmt.Sprintf("t%02d", i), first)
+		p.reduce(Finish{ID: first})
+		p.reduce(Finish{ID: second})
+	}
+	_, refused := p.submitSame(testDigest)
+	p.Assert(refused.RetryAfter, qt.Equals, shortHold) // Without an answer for three crashes.
+	p.now = p.now.Add(shortHold)
+	id, refused := p.submitSame(testDigest)
+	p.Assert(refused, qt.IsNil)
+	p.output(id)
+	p.Assert(p.refuses(testDigest), qt.IsFalse)
+}
+
 // The crashes happen at different instances. The third learns of them from the others, and
 // the reporters keep them in the store.
 func TestCrashesOfARequestAddUpOverInstances(t *testing.T) {
@@ -167,7 +195,7 @@
 	restarted.Assert(restarted.refuses(testDigest), qt.IsTrue)
 }
 
-// Requests that come once leave nothing behind, and crashes are bounded. Reports that turned
+// Requests that come once displace no parts, and crashes are bounded. Reports that turned
 // out to be wrong are dropped first.
 func TestEvidenceOfRequestsIsBounded(t *testing.T) {
 	p := newPrompts(t, "entry-a")
@@ -177,6 +205,8 @@
 		p.reduce(Finish{ID: id})
 	}
 	p.Assert(p.state.quarantine.sound.current, qt.HasLen, 0)
+	p.Assert(len(p.state.quarantine.answered.current) <= maxSoundParts, qt.IsTrue)
+	p.Assert(len(p.state.quarantine.answered.previous) <= maxSoundParts, qt.IsTrue)
 	q := &p.state.quarantine
 	for i, target := range []string{"first", "second"} {
 		q.recordCrash(CrashReport{Target: target, At: p.now.Add(time.Duration(i) * time.Second), Waiting: []string{Identity(testDigest)}})
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -75,6 +75,9 @@
 	instance string
 	crashes  []*CrashReport // By time, oldest first.
 	sound    soundParts
+	// answered holds requests by identity. They are kept apart, as most come only once and
+	// would displace the parts.
+	answered soundParts
 	// peerSound holds when other instances last received output for suspected parts.
 	peerSound map[string]time.Time
 	// version increases with each change of what the other instances must know.
@@ -84,9 +87,18 @@
 // active reports whether any crash is remembered.
 func (q *quarantine) active() bool { return len(q.crashes) > 0 }
 
+// ownSound returns when this instance last received output for a part or a request; zero
+// if that is not known.
+func (q *quarantine) ownSound(part string) time.Time {
+	if isIdentity(part) {
+		return q.answered.at(part)
+	}
+	return q.sound.at(part)
+}
+
 // lastSound returns when a part was last answered; zero if that is not known.
 func (q *quarantine) lastSound(part string) time.Time {
-	own, peers := q.sound.at(part), q.peerSound[part]
+	own, peers := q.ownSound(part), q.peerSound[part]
 	if peers.After(own) {
 		return peers
 	}
@@ -217,10 +229,19 @@
 	return crashes
 }
 
+// isCommon reports whether a request was answered shortly before the first of the crashes.
+// A request that crashes each target never is, so others merely look the same.
+func (q *quarantine) isCommon(identity string, crashes []*CrashReport) bool {
+	return crashes[0].At.Sub(q.lastSound(identity)) < soundWindow
+}
+
 // lostTogether returns the other requests that may have caused all of the crashes.
 func (q *quarantine) lostTogether(identity string, crashes []*CrashReport) (others []string) {
 	for _, other := range crashes[0].suspects() {
-		if isIdentity(other) && other != identity && len(q.crashesOf(other)) >= len(crashes) {
+		if !isIdentity(other) || other == identity {
+			continue
+		}
+		if of := q.crashesOf(other); len(of) >= len(crashes) && !q.isCommon(other, of) {
 			others = append(others, other)
 		}
 	}
@@ -228,22 +249,30 @@
 }
 
 // identityHold returns how long after the last of its crashes a request is refused: 0 if
-// it is tried again, together with the requests that must not run beside it. Requests that
-// run on a target when another one crashes it are lost as well. So a request is convicted
-// by two crashes that only it explains, or by one if only its response had begun.
+// it is sent again, but not together with the requests in apart. Requests that run on a
+// target when another one crashes it are lost as well. So a request is convicted by two
+// crashes that only it explains, or by one if only its response had begun.
 func (q *quarantine) identityHold(identity string, crashes []*CrashReport) (hold time.Duration, apart []string) {
 	switch {
 	case len(crashes) == 0:
 		return 0, nil
+	case q.isCommon(identity, crashes):
+		if len(crashes) < certainCrashes {
+			return 0, nil
+		}
+		return shortHold, []string{identity}
 	case len(crashes) >= certainCrashes:
 		return EvidenceAge, nil
-	case len(crashes) < certainCrashes-1 && (len(crashes[0].Begun) == 0 || len(q.lostTogether(identity, crashes)) > 0):
-		return 0, []string{identity}
 	}
-	if others := q.lostTogether(identity, crashes); len(others) > 0 {
-		return 0, append(others, identity)
+	others := q.lostTogether(identity, crashes)
+	alone := len(others) == 0
+	if alone && (len(crashes) == certainCrashes-1 || len(crashes[0].Begun) > 0) {
+		return baseHold, []string{identity}
 	}
-	return baseHold, nil
+	if len(crashes) == 1 {
+		others = nil // Most of them are sound.
+	}
+	return 0, append(others, identity)
 }
 
 // judgeIdentity returns the verdict on a request that is the same as lost ones.
@@ -259,7 +288,7 @@
 		until = until.Add(reporterLead)
 	}
 	if !at.Before(until) {
-		return verdict{onTrial: append(apart, identity)}
+		return verdict{onTrial: apart}
 	}
 	return verdict{until: until, certain: true}
 }
@@ -281,7 +310,9 @@
 		}
 	}
 	for _, part := range parts {
-		if !isIdentity(part) || q.suspected(part) { // Most requests come once.
+		if isIdentity(part) {
+			q.answered.record(at, part)
+		} else {
 			q.sound.record(at, part)
 		}
 	}
@@ -442,7 +473,7 @@
 		e.Reports = append(e.Reports, *c)
 		for _, part := range slices.Concat(c.Begun, c.Waiting) {
 			// Only own observations are sent: ages grow by the delay of each message.
-			if sound := q.sound.at(part); !sound.IsZero() {
+			if sound := q.ownSound(part); !sound.IsZero() {
 				e.Sound[part] = sound
 			}
 		}
