Let replicas name limits, and a request crash them, in the soak

One replica of each seed names a limit of 1 to 4 requests a second, and one of six idempotent requests is the same harmful one, while routers are killed, stopped, paused and restarted and links to the store break. Checked: the bound of the limit, over all routers and also around restarts, and at most three harmful requests later than 3 s after the third crash.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,19 +46,31 @@
 	// harmfulShare streams contains it.
 	harmfulPart  = "harmful"
 	harmfulShare = 6
+	// harmfulPath is the path of the request that crashes replicas by itself. While it is in
+	// use, one of harmfulShare idempotent requests is this one.
+	harmfulPath = "/safe/harmful"
+	// harmfulRunTime is how long a replica works on the harmful request before it crashes.
+	harmfulRunTime = 50 * time.Millisecond
 	// restartTime is how long a replica is down after a crash.
 	restartTime = 700 * time.Millisecond
-	// learningCrashes is how many crashes the routers may need to find the cause, and
-	// learningTime how long after the last of them. At most lateRequests harmful requests
-	// may reach replicas afterwards.
-	learningCrashes = 5
-	learningTime    = 3 * time.Second
-	lateRequests    = 3
+	// learningTime is how long after the last of the crashes that they need the routers may
+	// take to find the cause. At most lateRequests harmful requests may reach replicas
+	// afterwards.
+	learningTime = 3 * time.Second
+	lateRequests = 3
+	// limitSlack and limitFactor bound the requests that a replica gets in limitWindow when
+	// it has named a limit for learningTime.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
 	// shownLogLines is the number of lines of each router's log that a failure shows.
 	shownLogLines = 4
 	key           = "key"
 )
 
+// learningCrashes is how many crashes the routers may need to find a cause, by the cause.
+var learningCrashes = map[string]int{harmfulPart: 5, harmfulPath: 3}
+
 // router is the process of one router instance.
 type router struct {
 	name         string
@@ -87,11 +99,19 @@
 	served         int
 	sent           int
 	// statuses counts responses by status; 0 is a request without a response.
-	statuses   map[int]int
-	harmful    bool        // Some streams contain harmfulPart.
-	harmfulAt  []time.Time // When requests that contain harmfulPart reached replicas.
-	faults     []string
-	violations []string
+	statuses map[int]int
+	harmful  bool // Some requests crash replicas.
+	// harmfulAt holds when harmful requests reached replicas, by their cause.
+	harmfulAt map[string][]time.Time
+	// limited is the replica that names a limit, in requests per second, from limitedFrom
+	// on, and limitedAt holds when requests reached it.
+	limited     int
+	limit       float64 // 0 while it names none.
+	namedLimit  float64
+	limitedFrom time.Time
+	limitedAt   []time.Time
+	faults      []string
+	violations  []string
 }
 
 func TestSoak(t *testing.T) {
@@ -109,7 +129,7 @@
 func runSeed(t *testing.T, seed uint64, binary string) {
 	s := &soak{
 		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 11)), binary: binary, folder: t.TempDir(),
-		store: &platformtest.Store{}, runs: make(map[string]int), statuses: make(map[int]int), reportedNotRun: make(map[string]bool),
+		store: &platformtest.Store{}, runs: make(map[string]int), statuses: make(map[int]int), reportedNotRun: make(map[string]bool), harmfulAt: make(map[string][]time.Time),
 	}
 	s.startDeployment()
 	defer s.stopDeployment()
@@ -118,14 +138,18 @@
 	for range callers {
 		group.Go(func() { s.runCaller(ctx) })
 	}
-	s.withLock(func() { s.harmful = true })
+	s.withLock(func() {
+		s.harmful = true
+		s.limited, s.namedLimit, s.limitedFrom = s.random.IntN(replicas), 1+3*s.random.Float64(), time.Now()
+		s.limit = s.namedLimit
+	})
 	for until := time.Now().Add(*faultDuration); time.Now().Before(until); {
 		s.injectFault()
 		time.Sleep(time.Duration(50+s.random.IntN(500)) * time.Millisecond)
 	}
 	s.clearFaults()
 	time.Sleep(learningTime + time.Second) // Harmful requests go on without other faults.
-	s.withLock(func() { s.harmful = false })
+	s.withLock(func() { s.harmful, s.limit = false, 0 })
 	s.Assert(s.waitUntilServing(), qt.IsTrue, qt.Commentf("seed %d: requests are not served after the last fault; faults: %s; logs: %s", seed, strings.Join(s.faults, ", "), s.logTails()))
 	stop()
 	group.Wait()
@@ -187,9 +211,9 @@
 	s.store.PutTarget(s.replicas[i].ID, registration)
 }
 
-// crash crashes a replica and restarts it after restartTime.
-func (s *soak) crash(i int) {
-	s.withLock(func() { s.harmfulAt = append(s.harmfulAt, time.Now()) })
+// crash crashes a replica, because of a harmful part or path, and restarts it after restartTime.
+func (s *soak) crash(i int, cause string) {
+	s.withLock(func() { s.harmfulAt[cause] = append(s.harmfulAt[cause], time.Now()) })
 	s.replicas[i].Crash()
 	time.AfterFunc(restartTime, func() {
 		s.replicas[i].Restart()
@@ -203,19 +227,29 @@
 	if strings.HasPrefix(r.URI, "/once/") {
 		s.runs[r.Attempt]++
 	}
+	var headers []string
+	if i == s.limited && s.limit > 0 {
+		headers = []string{platformtest.RateLimit(s.limit)}
+		s.limitedAt = append(s.limitedAt, time.Now())
+	}
 	s.mutex.Unlock()
+	if r.URI == harmfulPath {
+		time.Sleep(harmfulRunTime)
+		s.crash(i, harmfulPath)
+		return
+	}
 	if !strings.HasPrefix(r.URI, "/stream/") {
-		w.WriteResponse(http.StatusOK, "echo "+r.Attempt)
+		w.WriteResponse(http.StatusOK, "echo "+r.Attempt, headers...)
 		return
 	}
 	firstEvent := 1
 	if r.LastEvent != "" {
 		firstEvent = 1 + int(r.LastEvent[0]-'0')
 	}
-	w.StartStream()
+	w.StartStream(headers...)
 	if strings.Contains(r.Prompt, harmfulPart) {
 		time.Sleep(5 * time.Millisecond)
-		s.crash(i)
+		s.crash(i, harmfulPart)
 		return
 	}
 	for id := firstEvent; id <= streamEvents; id++ {
@@ -360,8 +394,12 @@
 func (s *soak) sendRequest(client *http.Client, entry netip.AddrPort, path, attempt string) int {
 	prompt := "shared:40," + attempt + ":5"
 	s.withLock(func() {
-		if s.harmful && path == "/stream/" && s.sent%harmfulShare == 0 {
+		switch {
+		case !s.harmful || s.sent%harmfulShare != 0:
+		case path == "/stream/":
 			prompt = "shared:40," + harmfulPart + ":9," + attempt + ":5"
+		case path == "/safe/":
+			path = harmfulPath
 		}
 	})
 	request, err := platformtest.Call{Method: http.MethodPost, Path: path, Attempt: attempt, Key: key, Left: 2 * time.Second, Prompt: prompt}.Request(context.Background(), entry)
@@ -429,18 +467,40 @@
 			s.violations = append(s.violations, attempt+": executed although a response reported that it was not")
 		}
 	}
-	late := 0
-	for _, at := range s.harmfulAt {
-		if len(s.harmfulAt) >= learningCrashes && at.After(s.harmfulAt[learningCrashes-1].Add(learningTime)) {
-			late++
+	for cause, needed := range learningCrashes {
+		late, reached := 0, s.harmfulAt[cause]
+		for _, at := range reached {
+			if len(reached) >= needed && at.After(reached[needed-1].Add(learningTime)) {
+				late++
+			}
 		}
+		s.Check(late <= lateRequests, qt.IsTrue, qt.Commentf("seed %d: %d requests with %s reached replicas after the routers had time to learn; all at %v", seed, late, cause, reached))
 	}
-	s.Check(late <= lateRequests, qt.IsTrue, qt.Commentf("seed %d: %d requests that crash replicas reached them after the routers had time to learn; all at %v", seed, late, s.harmfulAt))
-	s.Logf("seed %d: %d crashes; %d sent, %d served, faults: %s; responses by status: %v", seed, len(s.harmfulAt), s.sent, s.served, strings.Join(s.faults, ", "), s.statuses)
+	most, allowed := s.mostLimited()
+	s.Check(float64(most) <= allowed, qt.IsTrue, qt.Commentf("seed %d: %d requests in %s reached a replica that names a limit, %.1f are allowed; at %v", seed, most, limitWindow, allowed, s.limitedAt))
+	s.Logf("seed %d: %d and %d crashes; limit: %d of %.1f; %d sent, %d served, faults: %s; responses by status: %v", seed, len(s.harmfulAt[harmfulPart]), len(s.harmfulAt[harmfulPath]), most, allowed, s.sent, s.served, strings.Join(s.faults, ", "), s.statuses)
 	s.Check(s.violations, qt.HasLen, 0, qt.Commentf("seed %d, faults: %s", seed, strings.Join(s.faults, ", ")))
 	s.Check(s.served > s.sent/4, qt.IsTrue, qt.Commentf("seed %d: %d of %d requests served, expected more than a quarter", seed, s.served, s.sent))
 }
 
+// mostLimited returns the largest number of requests that the limited replica got within
+// limitWindow, once it had named its limit for learningTime, and the number allowed.
+func (s *soak) mostLimited() (most int, allowed float64) {
+	for i, first := range s.limitedAt {
+		if first.Before(s.limitedFrom.Add(learningTime)) {
+			continue
+		}
+		count := 0
+		for _, at := range s.limitedAt[i:] {
+			if at.Sub(first) < limitWindow {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most, limitFactor*s.namedLimit*limitWindow.Seconds() + limitSlack
+}
+
 // stopDeployment kills the processes that this seed started and closes the proxies, the
 // replicas and the store.
 func (s *soak) stopDeployment() {
