Count the prompt towards the identity of a request

I had run this package's new tests only, not the suite. The prompt is part of what a target is asked, so it is part of the identity now, and the test passes.

--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -115,10 +115,10 @@
 }
 
 // contentIdentity returns the identity of what makes two requests the same one: method,
-// host, path with query, organisation and body.
+// host, path with query, organisation, prompt and body.
 func (x *exchange) contentIdentity() string {
 	digest := xxhash.New()
-	for _, part := range []string{x.request.Method, x.request.Host, x.request.RequestURI, x.organisation, string(x.body)} {
+	for _, part := range []string{x.request.Method, x.request.Host, x.request.RequestURI, x.organisation, x.headers.Prompt, string(x.body)} {
 		// The length keeps parts apart. Writing to a digest does not fail.
 		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
 	}
