Convict a request by one crash only if the target was a rank

TestResponsesWithoutLength (first event) failed since one crash with one begun response was enough: a target that cuts off a stream before its first event is no crash, and the request got 502 in place of another target. A rank's crash stops its whole group, so there one crash stays enough; reports carry whether the target was a rank, in state messages and in the store. For other targets two crashes are needed, as before that rule.

--- a/router/caller/crashes.go
+++ b/router/caller/crashes.go
@@ -93,7 +93,7 @@
 	for _, c := range r.core.OwnCrashes() {
 		at := time.Now().Add(-time.Since(c.At)) // The time of day, also after it has jumped.
 		raw, err := json.Marshal(fleet.Crash{
-			Target: c.Target, Incarnation: c.Incarnation, At: at.Round(0), Reporter: c.Reporter, Parts: c.Begun,
+			Target: c.Target, Incarnation: c.Incarnation, At: at.Round(0), Reporter: c.Reporter, Rank: c.Rank, Parts: c.Begun,
 		})
 		if err != nil {
 			return err // Unreachable: strings and numbers always encode.
@@ -155,7 +155,7 @@
 		}
 	}
 	r.core.HandleEvent(admission.CrashEvidence{Stored: true, Reports: []admission.CrashReport{{
-		Target: c.Target, Incarnation: c.Incarnation, At: time.Now().Add(-age), Reporter: c.Reporter, Begun: c.Parts,
+		Target: c.Target, Incarnation: c.Incarnation, At: time.Now().Add(-age), Reporter: c.Reporter, Rank: c.Rank, Begun: c.Parts,
 	}}})
 }
 
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -237,7 +237,7 @@
 	for _, r := range evidence.Reports {
 		state.Crashes = append(state.Crashes, &peer.CrashReport{
 			Target: r.Target, Incarnation: r.Incarnation, AgeMs: now.Sub(r.At).Milliseconds(), Reporter: r.Reporter,
-			Begun: r.Begun, Waiting: r.Waiting, Refuted: r.Refuted,
+			Begun: r.Begun, Waiting: r.Waiting, Refuted: r.Refuted, Rank: r.Rank,
 		})
 	}
 	if len(evidence.Sound) > 0 {
@@ -258,7 +258,7 @@
 	for _, r := range state.GetCrashes() {
 		evidence.Reports = append(evidence.Reports, admission.CrashReport{
 			Target: r.GetTarget(), Incarnation: r.GetIncarnation(), At: now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
-			Reporter: r.GetReporter(), Begun: r.GetBegun(), Waiting: r.GetWaiting(), Refuted: r.GetRefuted(),
+			Reporter: r.GetReporter(), Begun: r.GetBegun(), Waiting: r.GetWaiting(), Refuted: r.GetRefuted(), Rank: r.GetRank(),
 		})
 	}
 	for part, age := range state.GetSoundAges() {
--- a/shared/admission/enforce.go
+++ b/shared/admission/enforce.go
@@ -26,7 +26,7 @@
 		// A group that stalls cuts off the requests of all its ranks.
 		return effects
 	}
-	report := CrashReport{Target: e.Target, Incarnation: e.Incarnation, At: at, Reporter: st.quarantine.instance, Waiting: r.parts}
+	report := CrashReport{Target: e.Target, Incarnation: e.Incarnation, At: at, Reporter: st.quarantine.instance, Rank: known && t.Group != "", Waiting: r.parts}
 	if e.Begun {
 		report.Begun, report.Waiting = report.Waiting, nil
 	}
--- a/shared/admission/evidence.go
+++ b/shared/admission/evidence.go
@@ -35,6 +35,8 @@
 	// Begun and Waiting list the shared parts and the identities of the lost requests:
 	// those whose response had begun, and all others.
 	Begun, Waiting []string
+	// Rank is true if the target is a rank of a group, which its crash stops as a whole.
+	Rank bool
 	// Refuted is true if the target sent output after the crash, so that there was none.
 	Refuted bool
 }
@@ -59,7 +61,7 @@
 		r.Reporter = min(r.Reporter, other.Reporter)
 	}
 	r.Begun, r.Waiting = union(r.Begun, other.Begun), union(r.Waiting, other.Waiting)
-	r.Refuted = r.Refuted || other.Refuted
+	r.Refuted, r.Rank = r.Refuted || other.Refuted, r.Rank || other.Rank
 	if other.At.Before(r.At) {
 		r.At = other.At
 	}
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -251,7 +251,8 @@
 // identityHold returns how long after the last of its crashes a request is refused: 0 if
 // it is sent again, but not together with the requests in apart. Requests that run on a
 // target when another one crashes it are lost as well. So a request is convicted by two
-// crashes that only it explains, or by one if only its response had begun.
+// crashes that only it explains. One is enough if the target was a rank and only this
+// response had begun, since the next crash would stop a whole group again.
 func (q *quarantine) identityHold(identity string, crashes []*CrashReport) (hold time.Duration, apart []string) {
 	switch {
 	case len(crashes) == 0:
@@ -266,7 +267,7 @@
 	}
 	others := q.lostTogether(identity, crashes)
 	alone := len(others) == 0
-	if alone && (len(crashes) == certainCrashes-1 || len(crashes[0].Begun) > 0) {
+	if alone && (len(crashes) == certainCrashes-1 || crashes[0].Rank && len(crashes[0].Begun) > 0) {
 		return baseHold, []string{identity}
 	}
 	if len(crashes) == 1 {
--- a/shared/fleet/target.go
+++ b/shared/fleet/target.go
@@ -35,7 +35,9 @@
 	// At is the time of day of the crash, by the clock of the instance that reported it.
 	At       time.Time `json:"at"`
 	Reporter string    `json:"reporter"`
-	// Parts lists the parts of prompts that may have crashed the target.
+	// Rank is true if the target is a rank of a group.
+	Rank bool `json:"rank,omitempty"`
+	// Parts lists the parts of prompts and the requests that may have crashed the target.
 	Parts []string `json:"parts"`
 }
 
