Close only the group that waits for a rank, not its whole service

Callers of a service with three groups were refused while one of them waited for a missing rank. Cause: reports and the pause after a target's report named the service, from the time when a service had one group. Closed groups are named now, targets of other groups get the requests, and a request that a closed group has not run is sent to another group within its attempts and the retry budget. All groups closed is as before.

TestOpenGroupServesWhileAnotherIsClosed. Sites with one group are not affected.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -238,15 +238,6 @@
 		a.fail(http.StatusBadGateway, "mayHaveRun")
 		return true
 	}
-	if outcome == admission.GroupDown && !a.started {
-		a.router.core.Finish(a.id)
-		if a.mayHaveRun {
-			a.fail(http.StatusBadGateway, "groupDown")
-		} else {
-			a.refuse(admission.GroupClosedRetryAfter, "groupDown")
-		}
-		return true
-	}
 	a.router.core.HandleEvent(admission.Retry{ID: a.id, MayHaveRun: attemptMayHaveRun, ResponseStarted: a.started})
 	return false
 }
--- a/router/planner/group.go
+++ b/router/planner/group.go
@@ -352,7 +352,6 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, t := range g.registered {
-		state.service = t.Service
 		// Rounding to quarters prevents broadcasts of small changes.
 		if pace := math.Round(g.latestReports[t.Rank].Pace*4) / 4; pace > 1 {
 			state.paces[t.ID] = pace
--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -40,7 +40,6 @@
 
 // groupState is the state of a group that admission uses.
 type groupState struct {
-	service string
 	// closed reports whether the group cannot run because a rank is missing.
 	closed bool
 	// paces holds, by target, how many times slower than usual each slow rank is.
@@ -59,7 +58,7 @@
 	groups := admission.GroupReport{Paces: make(map[string]float64)}
 	for _, name := range slices.Sorted(maps.Keys(p.states)) {
 		if p.states[name].closed {
-			groups.Closed = append(groups.Closed, p.states[name].service)
+			groups.Closed = append(groups.Closed, name)
 		}
 		maps.Copy(groups.Paces, p.states[name].paces)
 	}
--- a/router/planner/planner_test.go
+++ b/router/planner/planner_test.go
@@ -33,8 +33,8 @@
 			goroutines.Go(func() {
 				name := fmt.Sprint(i)
 				for range 5 {
-					p.setState(name, groupState{service: "svc", closed: true, paces: map[string]float64{name: 4}})
-					p.setState(name, groupState{service: "svc"})
+					p.setState(name, groupState{closed: true, paces: map[string]float64{name: 4}})
+					p.setState(name, groupState{})
 				}
 			})
 		}
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -139,8 +139,8 @@
 // replaces that instance's previous report.
 type GroupReport struct {
 	Instance string
-	// Closed lists the services with a closed group. A group is closed, and executes no
-	// requests, while it waits for a missing rank.
+	// Closed lists the closed groups. A group is closed, and executes no requests, while it
+	// waits for a missing rank.
 	Closed []string
 	// Paces holds the paces of slow ranks, by target. The pace of a rank is the factor
 	// by which it is slower than usual; 1 is the usual speed.
@@ -214,7 +214,7 @@
 	NoBudget
 	// NoAttempts means that the route allows no further attempt.
 	NoAttempts
-	// GroupClosed means that a group of the service waits for a missing rank.
+	// GroupClosed means that all groups of the service wait for a missing rank.
 	GroupClosed
 	// Quarantined means that the request, or a part of its prompt, is suspected to crash
 	// targets.
--- a/shared/admission/group_test.go
+++ b/shared/admission/group_test.go
@@ -112,3 +112,43 @@
 	c.Assert(effects, qt.HasLen, 1)
 	c.Assert(effects[0].(Dispatch).Target.ID, qt.Equals, targetOf[3])
 }
+
+// One of two groups waits for a missing rank. The other one serves the service's requests,
+// also those that the first one could not run.
+func TestOpenGroupServesWhileAnotherIsClosed(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	engine := testEngine()
+	update := ServiceTargets{Service: fleet.Service{Name: testService, Engine: &engine}}
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		update.Targets = append(update.Targets, fleet.Target{ID: id, Service: testService, Group: id[:1], Slots: 12})
+	}
+	st := New("entry-a", "a", RetryBudget{Ratio: 0.2, Slack: 92})
+	st.Reduce(now, update)
+	next := RequestID(0)
+	submit := func() (Dispatch, bool) {
+		next++
+		effects := st.Reduce(now, Submit{Request: Request{ID: next, Service: testService, Objective: testObjective, MaxGap: testMaxGap, MaxAttempts: 2, Deadline: now.Add(8 * time.Second)}})
+		c.Assert(effects, qt.HasLen, 1)
+		d, ok := effects[0].(Dispatch)
+		return d, ok
+	}
+	first, _ := submit()
+	st.Reduce(now, AttemptResult{ID: first.ID, Service: testService, Target: first.Target.ID, Outcome: GroupDown})
+	effects := st.Reduce(now, Retry{ID: first.ID})
+	c.Assert(effects, qt.HasLen, 1)
+	c.Assert(effects[0].(Dispatch).Target.Group, qt.Not(qt.Equals), first.Target.Group)
+	now = now.Add(groupPause)
+	st.Reduce(now, GroupReport{Instance: "p", Closed: []string{"a"}})
+	for range 4 {
+		d, ok := submit()
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(d.Target.Group, qt.Equals, "b")
+	}
+	st.Reduce(now, GroupReport{Instance: "p", Closed: []string{"a", "b"}})
+	_, ok := submit()
+	c.Assert(ok, qt.IsFalse)
+	st.Reduce(now, PeerLost{Peer: "p"})
+	_, ok = submit()
+	c.Assert(ok, qt.IsTrue)
+}
--- a/shared/admission/limit.go
+++ b/shared/admission/limit.go
@@ -35,6 +35,9 @@
 	// lastOutput is when the group last produced output, or received a request while
 	// it was idle.
 	lastOutput time.Time
+	// pausedUntil is when the group receives requests again, after a target reported that
+	// it waits for a missing rank.
+	pausedUntil time.Time
 	// paces holds the paces of all ranks in ascending order; see GroupReport.Paces.
 	paces []float64
 	// maxUsedPace is the pace of the slowest rank that receives requests.
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// groupPause is how long a service dispatches no requests after a target reported
-	// that it waits for a missing rank of its group.
+	// groupPause is how long a group receives no requests after a target reported that it
+	// waits for a missing rank.
 	groupPause = 400 * time.Millisecond
 	// finishWeight is the weight of the latest interval between two finished requests.
 	finishWeight = 0.1
@@ -33,9 +33,8 @@
 	searchOffset   int // Where chooseTarget begins, modulo len(targetIDs).
 	waiting        queue
 	// passModels holds a model for each group; targets without a group share one.
-	passModels  map[string]*passModel
-	maxGap      time.Duration // Largest MaxGap of all requests so far.
-	pausedUntil time.Time     // No request is dispatched before this time.
+	passModels map[string]*passModel
+	maxGap     time.Duration // Largest MaxGap of all requests so far.
 
 	// finishInterval is the smoothed interval between two finished requests, measured
 	// while requests wait.
@@ -180,9 +179,6 @@
 // chooseTarget returns the target with the lowest load that a request may be sent to, and
 // its number of running requests. The target is nil if none has room.
 func (s *service) chooseTarget(at time.Time, e *activeRequest, st *State) (*target, int) {
-	if at.Before(s.pausedUntil) || st.isClosed(s.Name) {
-		return nil, 0
-	}
 	extra := 0
 	if e.attemptsRun+len(e.tried) > 0 {
 		extra = 1 // Retries may exceed the limit, as they have waited already.
@@ -195,7 +191,7 @@
 		t := s.targets[s.targetIDs[index]]
 		running := t.running + st.peerLoads.total(t.ID)
 		limit := limits(t)
-		if limit == 0 {
+		if limit == 0 || st.isClosed(at, s, t.Group) {
 			continue // Retries avoid excluded ranks as well.
 		}
 		limit += extra
@@ -239,7 +235,7 @@
 	limits := s.limits()
 	for i, id := range s.targetIDs {
 		t := s.targets[id]
-		if limits(t) == 0 {
+		if limits(t) == 0 || st.isClosed(at, s, t.Group) {
 			continue
 		}
 		wait := st.rateWait(at, s, i)
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -50,6 +50,7 @@
 	requests     map[RequestID]*activeRequest
 	peerLoads    peerLoads
 	groupReports map[string]GroupReport // By reporting instance.
+	closedGroups map[string]bool
 	quarantine   quarantine
 }
 
@@ -59,7 +60,7 @@
 		quarantine: quarantine{instance: instance},
 		dataCentre: dataCentre, retryBudget: retryBudget, entries: newEntrySet(instance), limits: newTargetLimits(),
 		services: make(map[string]*service), requests: make(map[RequestID]*activeRequest), peerLoads: newPeerLoads(),
-		groupReports: make(map[string]GroupReport),
+		groupReports: make(map[string]GroupReport), closedGroups: make(map[string]bool),
 	}
 }
 
@@ -98,6 +99,7 @@
 	case GroupReport:
 		changed := !maps.Equal(st.groupReports[e.Instance].Paces, e.Paces)
 		st.groupReports[e.Instance] = e
+		st.setClosedGroups()
 		if changed {
 			st.setPaces()
 		}
@@ -109,6 +111,7 @@
 	case PeerLost:
 		st.peerLoads.set(e.Peer, nil)
 		delete(st.groupReports, e.Peer)
+		st.setClosedGroups()
 		st.setPaces()
 		return st.dispatchAllWaiting(at)
 	case CrashEvidence:
@@ -191,7 +194,7 @@
 	if len(s.targets) == 0 {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: noTargetRetryAfter, Reason: NoTarget}}
 	}
-	if at.Before(s.pausedUntil) || st.isClosed(r.Service) {
+	if st.allClosed(at, s) {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: GroupClosedRetryAfter, Reason: GroupClosed}}
 	}
 	ahead := s.waiting.ahead(r.Priority)
@@ -214,14 +217,25 @@
 	return nil
 }
 
-// isClosed reports whether any instance reports a closed group of a service.
-func (st *State) isClosed(service string) bool {
+// isClosed reports whether a group waits for a missing rank, as any instance or one of its
+// targets reports.
+func (st *State) isClosed(at time.Time, s *service, group string) bool {
+	return st.closedGroups[group] || group != "" && at.Before(s.passModelOf(group).pausedUntil)
+}
+
+// allClosed reports whether all groups of a service are closed.
+func (st *State) allClosed(at time.Time, s *service) bool {
+	return len(s.targetIDs) > 0 && !slices.ContainsFunc(s.targetIDs, func(id string) bool { return !st.isClosed(at, s, s.targets[id].Group) })
+}
+
+// setClosedGroups updates the closed groups from the reports of all instances.
+func (st *State) setClosedGroups() {
+	clear(st.closedGroups)
 	for _, report := range st.groupReports {
-		if slices.Contains(report.Closed, service) {
-			return true
+		for _, group := range report.Closed {
+			st.closedGroups[group] = true
 		}
 	}
-	return false
 }
 
 // hasTarget reports whether a target takes new requests of any service.
@@ -313,6 +327,8 @@
 	switch {
 	case quarantined > 0:
 		refuse.Reason, refuse.RetryAfter = Quarantined, quarantined
+	case !r.ResponseStarted && st.allClosed(at, s):
+		refuse.Reason, refuse.RetryAfter = GroupClosed, GroupClosedRetryAfter
 	case e.attemptsRun >= e.request.MaxAttempts || e.attempts > e.request.MaxAttempts:
 		refuse.Reason = NoAttempts
 	case !e.moving && !s.retryTokens.take():
@@ -362,8 +378,13 @@
 	}
 	switch {
 	case e.Outcome == GroupDown:
-		s.pausedUntil = at.Add(groupPause)
-		return append(effects, st.refuseWaiting(s)...)
+		if t, ok := s.targets[e.Target]; ok {
+			s.passModelOf(t.Group).pausedUntil = at.Add(groupPause)
+		}
+		if st.allClosed(at, s) {
+			effects = append(effects, st.refuseWaiting(s)...)
+		}
+		return effects
 	case e.Outcome == Good && e.TimeToFirstOutput > 0:
 		if s.timeToFirstOutput == 0 {
 			s.timeToFirstOutput = e.TimeToFirstOutput
@@ -373,7 +394,7 @@
 	return effects
 }
 
-// refuseWaiting refuses the waiting requests of a service with a closed group, except
+// refuseWaiting refuses the waiting requests of a service whose groups are closed, except
 // those whose callers have received a part of the response.
 func (st *State) refuseWaiting(s *service) []Effect {
 	var effects []Effect
