Write pauses, stored crashes and explanations of crashes once

Behaviour as before: the tests of shared, router/entries, agent and standin pass; router/caller and demo run with the landing.

--- a/agent/target/ranks.go
+++ b/agent/target/ranks.go
@@ -10,6 +10,7 @@
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/fault"
 	"chervilswitch.example/shared/platform"
+	"chervilswitch.example/shared/wait"
 )
 
 const (
@@ -65,7 +66,7 @@
 				a.node.Send(control.RankEvent{Rank: rank, Input: completion})
 				return
 			}
-			sleep(ctx, commandRetryInterval)
+			wait.Sleep(ctx, commandRetryInterval)
 		}
 	}()
 }
@@ -94,13 +95,3 @@
 	}
 	return nil
 }
-
-// sleep returns after d or when the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -14,6 +14,7 @@
 	"chervilswitch.example/operate/desk"
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/platform"
+	"chervilswitch.example/shared/wait"
 	"chervilswitch.example/standin/engine"
 
 	"github.com/apex/log"
@@ -97,7 +98,7 @@
 	loadContext, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	d.load.Start(loadContext, callers)
-	if !sleep(ctx, phaseDuration) {
+	if !wait.Sleep(ctx, phaseDuration) {
 		return ctx.Err()
 	}
 	if err := d.takeOutAndBringBack(ctx); err != nil {
@@ -108,7 +109,7 @@
 	if err := d.publishConflictingChanges(ctx); err != nil {
 		return err
 	}
-	if !sleep(ctx, phaseDuration) {
+	if !wait.Sleep(ctx, phaseDuration) {
 		return ctx.Err()
 	}
 	d.load.Stop()
@@ -121,11 +122,11 @@
 	if err := d.runOperatorCommand(ctx, "take-out", takenOutDataCentre); err != nil {
 		return err
 	}
-	if !sleep(ctx, settleTime) {
+	if !wait.Sleep(ctx, settleTime) {
 		return ctx.Err()
 	}
 	before := d.receivedIn(takenOutDataCentre)
-	if !sleep(ctx, phaseDuration) {
+	if !wait.Sleep(ctx, phaseDuration) {
 		return ctx.Err()
 	}
 	late := d.receivedIn(takenOutDataCentre) - before
@@ -136,7 +137,7 @@
 	if err := d.runOperatorCommand(ctx, "bring-back", takenOutDataCentre); err != nil {
 		return err
 	}
-	if !sleep(ctx, phaseDuration) {
+	if !wait.Sleep(ctx, phaseDuration) {
 		return ctx.Err()
 	}
 	d.printf("%s got %d requests since it was brought back", takenOutDataCentre, d.receivedIn(takenOutDataCentre)-before-late)
@@ -239,15 +240,3 @@
 	d.printf("go run ./operate status --entry %s", d.site.Operators["entry-0"])
 	d.printf("go run ./operate take-out %s --platform %s --entry %s", takenOutDataCentre, d.site.Platform, d.site.Operators["entry-0"])
 }
-
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/router/caller/crashes.go
+++ b/router/caller/crashes.go
@@ -10,6 +10,7 @@
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
+	"chervilswitch.example/shared/wait"
 
 	"github.com/apex/log"
 )
@@ -31,12 +32,13 @@
 type crashStore struct {
 	// changed requests a comparison of the stored crashes with the known ones.
 	changed chan struct{}
-	// stored receives the records that were read from the store.
-	stored chan map[string]string
+	// read receives crashes that were read from the store, and that this instance removes
+	// once they are old.
+	read chan fleet.Record
 }
 
 func newCrashStore() crashStore {
-	return crashStore{changed: make(chan struct{}, 1), stored: make(chan map[string]string, 1)}
+	return crashStore{changed: make(chan struct{}, 1), read: make(chan fleet.Record, 1)}
 }
 
 // notify requests a comparison without waiting for it.
@@ -65,20 +67,18 @@
 		select {
 		case <-ctx.Done():
 			return
-		case read := <-r.crashes.stored:
-			for key, value := range read {
-				stored[key] = value
-			}
+		case record := <-r.crashes.read:
+			stored[record.Key] = string(record.Value)
 			continue
 		case <-r.crashes.changed:
-			if !sleep(ctx, crashSettleTime) {
+			if !wait.Sleep(ctx, crashSettleTime) {
 				return
 			}
 		case <-ticker.C:
 		}
 		if err := r.storeCrashes(ctx, stored); err != nil && ctx.Err() == nil {
 			events.Log(r.logger, events.DependencyLost, log.Fields{"dependency": "store", "topic": fleet.EntryTopic.String(), "error": err.Error()})
-			if !sleep(ctx, registerRetryInterval) {
+			if !wait.Sleep(ctx, registerRetryInterval) {
 				return
 			}
 			r.crashes.notify()
@@ -150,7 +150,7 @@
 	age := max(0, time.Since(c.At)) // The reporter's clock may be ahead.
 	if c.Reporter == r.options.Instance || age > admission.EvidenceAge {
 		select {
-		case r.crashes.stored <- map[string]string{record.Key: string(record.Value)}:
+		case r.crashes.read <- record:
 		case <-r.lifetime.Done():
 		}
 	}
@@ -158,13 +158,3 @@
 		Target: c.Target, Incarnation: c.Incarnation, At: time.Now().Add(-age), Reporter: c.Reporter, Rank: c.Rank, Begun: c.Parts,
 	}}})
 }
-
-// sleep waits for a duration. It returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -27,6 +27,7 @@
 	"chervilswitch.example/shared/fleet"
 	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/settings"
+	"chervilswitch.example/shared/wait"
 
 	"github.com/apex/log"
 )
@@ -204,10 +205,7 @@
 		if err := r.store.Put(ctx, fleet.EntryTopic, self.Name, value); err == nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerRetryInterval):
-		}
+		wait.Sleep(ctx, registerRetryInterval)
 	}
 }
 
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -14,6 +14,7 @@
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
 	"chervilswitch.example/shared/peer"
+	"chervilswitch.example/shared/wait"
 
 	"github.com/apex/log"
 )
@@ -163,10 +164,7 @@
 func (m *Membership) sendLoop(ctx context.Context, mb *member) {
 	for ctx.Err() == nil {
 		m.sendOverLink(ctx, mb)
-		select {
-		case <-ctx.Done():
-		case <-time.After(redialPause):
-		}
+		wait.Sleep(ctx, redialPause)
 	}
 }
 
@@ -336,10 +334,7 @@
 				m.contactSeed(ctx, seed)
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(redialPause):
-		}
+		wait.Sleep(ctx, redialPause)
 	}
 }
 
@@ -355,10 +350,7 @@
 		return
 	}
 	defer stream.Close()
-	select { // Closing at once could drop the message before it is sent.
-	case <-ctx.Done():
-	case <-time.After(stateInterval):
-	}
+	wait.Sleep(ctx, stateInterval) // Closing at once could drop the message before it is sent.
 }
 
 // applyState applies a state message: the sender's liveness, load, group states and
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -105,15 +105,23 @@
 	return own
 }
 
-// candidates returns the parts of prompts that explain a crash: those that were not answered after
-// it, nor shortly before it. If there are none, a part that was answered before may have
-// become harmful; then it must have been lost in an earlier crash as well, and not have
-// been answered since.
-func (q *quarantine) candidates(c *CrashReport) (parts []string, repeated bool) {
+// explanation holds the parts of prompts that explain a crash.
+type explanation struct {
+	crash *CrashReport
+	parts []string
+	// repeated is true if the parts were answered before, and lost in an earlier crash.
+	repeated bool
+}
+
+// explain returns the parts of prompts that explain a crash: those that were not answered
+// after it, nor shortly before it. If there are none, a part that was answered before may
+// have become harmful; then it must have been lost in an earlier crash as well, and not
+// have been answered since.
+func (q *quarantine) explain(c *CrashReport) explanation {
 	if c.Refuted || q.explained(c) {
-		return nil, false
+		return explanation{crash: c}
 	}
-	var again []string
+	var parts, again []string
 	for _, part := range c.suspects() {
 		if isIdentity(part) {
 			continue
@@ -128,9 +136,9 @@
 		}
 	}
 	if len(parts) > 0 {
-		return parts, false
+		return explanation{crash: c, parts: parts}
 	}
-	return again, true
+	return explanation{crash: c, parts: again, repeated: true}
 }
 
 // explained reports whether a crash without begun responses happened together with one
@@ -161,12 +169,12 @@
 // not begun. If there are other candidates, requests that begin with the part are tried
 // soon as well: a first part belongs to all requests of a caller, so it is less likely to
 // be harmful and costs most if it is refused.
-func (q *quarantine) hold(c *CrashReport, part string, alone, first, repeated bool) time.Duration {
+func (q *quarantine) hold(x explanation, part string, first bool) time.Duration {
 	offences := q.offences(part)
-	if repeated || len(c.Begun) == 0 {
+	if x.repeated || len(x.crash.Begun) == 0 {
 		offences--
 	}
-	if offences < 1 || first && !alone {
+	if offences < 1 || first && len(x.parts) > 1 {
 		return shortHold
 	}
 	return min(maxHold, baseHold<<min(offences-1, 8))
@@ -194,12 +202,12 @@
 		if !containsAny(c.suspects(), parts) {
 			continue
 		}
-		candidates, repeated := q.candidates(c)
+		x := q.explain(c)
 		for i, part := range parts {
-			if !slices.Contains(candidates, part) {
+			if !slices.Contains(x.parts, part) {
 				continue
 			}
-			hold := q.hold(c, part, len(candidates) == 1, i == 0, repeated)
+			hold := q.hold(x, part, i == 0)
 			until := c.At.Add(hold)
 			if hold > shortHold && c.Reporter != q.instance {
 				until = until.Add(reporterLead)
@@ -276,6 +284,17 @@
 	return 0, append(others, identity)
 }
 
+// convicted returns the requests that are refused because of a crash, and their longest
+// hold.
+func (q *quarantine) convicted(c *CrashReport) (identities []string, longest time.Duration) {
+	for _, identity := range q.openIdentities(c, c.suspects()) {
+		if hold, _ := q.identityHold(identity, q.crashesOf(identity)); hold > 0 {
+			identities, longest = append(identities, identity), max(longest, hold)
+		}
+	}
+	return identities, longest
+}
+
 // judgeIdentity returns the verdict on a request that is the same as lost ones.
 func (q *quarantine) judgeIdentity(at time.Time, identity string) (v verdict) {
 	crashes := q.crashesOf(identity)
@@ -302,8 +321,7 @@
 		if !containsAny(c.suspects(), parts) {
 			continue
 		}
-		candidates, _ := q.candidates(c)
-		cleared := slices.DeleteFunc(candidates, func(part string) bool { return !slices.Contains(parts, part) })
+		cleared := slices.DeleteFunc(q.explain(c).parts, func(part string) bool { return !slices.Contains(parts, part) })
 		cleared = append(cleared, q.openIdentities(c, parts)...)
 		if len(cleared) > 0 {
 			effects = append(effects, QuarantineChanged{Report: *c, Change: PartCleared, Parts: cleared})
@@ -370,17 +388,12 @@
 	if c.Refuted {
 		change.Change = CrashRefuted
 	}
-	var repeated bool
-	change.Parts, repeated = q.candidates(c)
-	for _, part := range change.Parts {
-		change.Hold = max(change.Hold, q.hold(c, part, len(change.Parts) == 1, false, repeated))
-	}
-	for _, identity := range q.openIdentities(c, c.suspects()) {
-		if hold, _ := q.identityHold(identity, q.crashesOf(identity)); hold > 0 {
-			change.Parts = append(change.Parts, identity)
-			change.Hold = max(change.Hold, hold)
-		}
+	x := q.explain(c)
+	for _, part := range x.parts {
+		change.Hold = max(change.Hold, q.hold(x, part, false))
 	}
+	convicted, hold := q.convicted(c)
+	change.Parts, change.Hold = append(x.parts, convicted...), max(change.Hold, hold)
 	return []Effect{change}
 }
 
@@ -438,14 +451,10 @@
 		}
 		var parts []string
 		if len(c.Begun) > 0 {
-			parts, _ = q.candidates(c)
-		}
-		for _, identity := range q.openIdentities(c, c.suspects()) {
-			if hold, _ := q.identityHold(identity, q.crashesOf(identity)); hold > 0 {
-				parts = append(parts, identity)
-			}
+			parts = q.explain(c).parts
 		}
-		if len(parts) > 0 {
+		convicted, _ := q.convicted(c)
+		if parts = append(parts, convicted...); len(parts) > 0 {
 			report := *c
 			report.Begun, report.Waiting = parts, nil
 			reports = append(reports, report)
--- a/shared/admission/quarantine_test.go
+++ b/shared/admission/quarantine_test.go
@@ -389,9 +389,9 @@
 		}
 		c := qt.New(t)
 		for i, crash := range instances[0].crashes {
-			expected, _ := instances[0].candidates(crash)
+			expected := instances[0].explain(crash).parts
 			for _, q := range instances[1:] {
-				got, _ := q.candidates(q.crashes[i])
+				got := q.explain(q.crashes[i]).parts
 				c.Assert(got, qt.ContentEquals, expected, qt.Commentf("seed %d crash %d", seed, i))
 			}
 		}
--- a/shared/peer/node.go
+++ b/shared/peer/node.go
@@ -14,6 +14,7 @@
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/platform"
+	"chervilswitch.example/shared/wait"
 
 	"github.com/apex/log"
 )
@@ -237,22 +238,22 @@
 // readStream reads one stream of the log until the context ends.
 func (n *Node) readStream(ctx context.Context, stream platform.Stream) {
 	next := platform.Offset(1)
-	wait := time.Duration(0) // The first read returns the end of the stream at once.
+	longPoll := time.Duration(0) // The first read returns the end of the stream at once.
 	for ctx.Err() == nil {
 		if stream == platform.ConfigStream {
 			next = n.nextConfigOffset(ctx, next)
 		}
 		requestedAt := time.Now()
-		page, err := n.options.Platform.Read(ctx, stream, next, wait)
+		page, err := n.options.Platform.Read(ctx, stream, next, longPoll)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			events.Log(n.options.Logger, events.LogUnreadable, log.Fields{"stream": stream, "error": err.Error()})
-			sleep(ctx, readRetryInterval)
+			wait.Sleep(ctx, readRetryInterval)
 			continue
 		}
-		wait = longPollWait
+		longPoll = longPollWait
 		if count := len(page.Records); count > 0 {
 			next = page.Records[count-1].Offset + 1
 		}
@@ -287,7 +288,7 @@
 		if age > maxRelayedAge {
 			return // Peers are late; reading the log itself keeps the process ready for new work.
 		}
-		sleep(ctx, readRetryInterval)
+		wait.Sleep(ctx, readRetryInterval)
 	}
 }
 
@@ -307,7 +308,7 @@
 		if list, err := n.options.Platform.Instances(ctx); err == nil {
 			n.Send(control.InstanceList{Instances: list})
 		}
-		sleep(ctx, listInterval)
+		wait.Sleep(ctx, listInterval)
 	}
 }
 
@@ -324,13 +325,3 @@
 		}
 	}
 }
-
-// sleep waits for a duration or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/shared/peer/peers.go
+++ b/shared/peer/peers.go
@@ -9,6 +9,7 @@
 
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/wait"
 
 	"github.com/apex/log"
 )
@@ -101,7 +102,7 @@
 		if ctx.Err() == nil {
 			events.Log(n.options.Logger, events.PeerLost, log.Fields{"peer": name, "error": errorText(err)})
 		}
-		sleep(ctx, redialInterval)
+		wait.Sleep(ctx, redialInterval)
 	}
 }
 
@@ -123,7 +124,7 @@
 			name = heartbeat.GetInstance() // The name of a seed is known from its first response.
 		}
 		n.Send(control.HeartbeatReceived{RequestedAt: requestedAt, Heartbeat: heartbeat.Decode()})
-		sleep(ctx, interval)
+		wait.Sleep(ctx, interval)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/shared/ranks/executor.go
+++ b/shared/ranks/executor.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"chervilswitch.example/shared/wait"
 )
 
 const (
@@ -60,7 +62,7 @@
 		case errors.Is(err, ErrRefused):
 			return x.resolveRefusal(ctx, order, err)
 		}
-		if sleep(ctx, retryDelay+x.ReportLag) != nil {
+		if !wait.Sleep(ctx, retryDelay+x.ReportLag) {
 			return report, ErrUnanswered.Wrap(err, "the order had no confirmed result before the deadline")
 		}
 	}
@@ -70,7 +72,7 @@
 // already taken effect. In that case the order has succeeded.
 func (x *Executor) resolveRefusal(ctx context.Context, order Order, refusal error) (Report, error) {
 	if x.ReportLag > 0 {
-		_ = sleep(ctx, x.ReportLag) // The next call fails if the context has ended.
+		wait.Sleep(ctx, x.ReportLag) // The next call fails if the context has ended.
 	}
 	report, err := x.report(ctx)
 	if err != nil {
@@ -109,15 +111,3 @@
 		return false
 	}
 }
-
-// sleep waits for d; it returns the context's error if the context ends first.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/standin/platform/log.go
+++ b/standin/platform/log.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chervilswitch.example/shared/platform"
+	"chervilswitch.example/shared/wait"
 
 	"golang.org/x/time/rate"
 )
@@ -133,7 +134,7 @@
 	l.mutex.Lock()
 	down, delay := l.down, l.delay
 	l.mutex.Unlock()
-	sleep(r.Context(), delay)
+	wait.Sleep(r.Context(), delay)
 	if down {
 		http.Error(w, "the log is unavailable", http.StatusServiceUnavailable)
 		return false
@@ -276,16 +277,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value) // On an error, the client gets a truncated response.
 }
-
-// sleep waits for the duration d or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
