--- a/shared/admission/quarantine_test.go
+++ b/shared/admission/quarantine_test.go
@@ -347,10 +347,10 @@
 }
 
 // Instances see crashes, answers and refutations in random order, and exchange evidence
-// at random times. Once they have exchanged all of it, they agree, and no part is refused
-// that was answered after the last crash that names it.
+// at random times. Once they have exchanged all of it, they agree, and no part or request
+// is refused that was answered after the last crash that names it.
 func TestInstancesAgreeOnRandomEvidence(t *testing.T) {
-	parts := []string{"p0", "p1", "p2", "p3", "p4"}
+	parts := []string{"p0", "p1", "p2", "p3", "p4", Identity(0), Identity(1), Identity(2)}
 	for seed := range uint64(300) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		instances := []*quarantine{{instance: "entry-a"}, {instance: "entry-b"}, {instance: "entry-c"}}
@@ -390,8 +390,11 @@
 		c := qt.New(t)
 		for i, crash := range instances[0].crashes {
 			expected := instances[0].explain(crash).parts
+			convicted, _ := instances[0].convicted(crash)
 			for _, q := range instances[1:] {
 				got := q.explain(q.crashes[i]).parts
+				others, _ := q.convicted(q.crashes[i])
+				c.Assert(others, qt.ContentEquals, convicted, qt.Commentf("seed %d crash %d", seed, i))
 				c.Assert(got, qt.ContentEquals, expected, qt.Commentf("seed %d crash %d", seed, i))
 			}
 		}
