Take a crash report that is dropped at once for no news

Reading the diff: with more than 64 crashes known, a report older than all others was added, dropped and announced as news; instances that remember different ones would send it to each other for ever. A report that is dropped as the excess one is no change. TestDroppedReportIsNoNews fails before (one effect, expected none) and passes after; the package passes.

--- a/shared/admission/identity_test.go
+++ b/shared/admission/identity_test.go
@@ -231,3 +231,22 @@
 	p.Assert(q.crashes, qt.HasLen, maxCrashes)
 	p.Assert(p.refuses(testDigest), qt.IsTrue)
 }
+
+// A report that is dropped at once, since there are newer ones, is no news: instances with
+// different reports would send it to each other for ever.
+func TestDroppedReportIsNoNews(t *testing.T) {
+	c := qt.New(t)
+	q := quarantine{instance: "entry-a"}
+	at := time.Unix(1000, 0)
+	for i := range maxCrashes {
+		q.recordCrash(CrashReport{Target: fmt.Sprint(i), At: at.Add(time.Duration(i) * time.Second), Waiting: []string{"p"}})
+	}
+	version := q.version
+	old := CrashEvidence{Reports: []CrashReport{{Target: "old", At: at.Add(-time.Second), Waiting: []string{"p"}}}}
+	c.Assert(q.applyEvidence(at.Add(time.Minute), old), qt.HasLen, 0)
+	c.Assert(q.version, qt.Equals, version)
+	c.Assert(q.crashes, qt.HasLen, maxCrashes)
+	newer := CrashEvidence{Reports: []CrashReport{{Target: "new", At: at.Add(time.Minute), Waiting: []string{"p"}}}}
+	c.Assert(q.applyEvidence(at.Add(time.Minute), newer), qt.HasLen, 1)
+	c.Assert(q.version, qt.Equals, version+1)
+}
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -69,8 +69,9 @@
 func (QuarantineChanged) effect() {}
 
 // quarantine decides which requests are refused because they crash targets: a part of
-// their prompt does so, or the request itself, which its identity stands for. Its evidence consists of crashes and of the parts that were answered; what
-// follows from it is computed when it is needed.
+// their prompt does so, or the request itself, which its identity stands for. Its evidence
+// consists of crashes and of the parts that were answered; what follows from it is computed
+// when it is needed.
 type quarantine struct {
 	instance string
 	crashes  []*CrashReport // By time, oldest first.
@@ -379,9 +380,8 @@
 		return nil
 	}
 	slices.SortStableFunc(q.crashes, func(a, b *CrashReport) int { return a.At.Compare(b.At) })
-	if len(q.crashes) > maxCrashes {
-		oldest := max(0, slices.IndexFunc(q.crashes, func(c *CrashReport) bool { return c.Refuted }))
-		q.crashes = slices.Delete(q.crashes, oldest, oldest+1)
+	if q.dropExcess() == c {
+		return nil // Other instances may send it again and again.
 	}
 	q.version++
 	change := QuarantineChanged{Report: *c, Change: CrashReported}
@@ -397,6 +397,18 @@
 	return []Effect{change}
 }
 
+// dropExcess removes a crash if there are too many: the oldest of those that were refuted,
+// or else the oldest. It returns the removed one, or nil.
+func (q *quarantine) dropExcess() *CrashReport {
+	if len(q.crashes) <= maxCrashes {
+		return nil
+	}
+	i := max(0, slices.IndexFunc(q.crashes, func(c *CrashReport) bool { return c.Refuted }))
+	dropped := q.crashes[i]
+	q.crashes = slices.Delete(q.crashes, i, i+1)
+	return dropped
+}
+
 // find returns the known report on the same crash, or nil.
 func (q *quarantine) find(r CrashReport) *CrashReport {
 	for _, c := range q.crashes {
