--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -431,8 +431,8 @@
 
 // sharingInstances returns the sorted names of the instances that share limits, including
 // this one. An instance that falls silent keeps its share for expireAfter, and one that
-// was stopping until it is silent. An instance that hears at most half of the others may
-// be cut off itself, so it goes on sharing with all of them.
+// was stopping until it is silent. An instance that hears at most half of all, itself
+// included, may be cut off, so it goes on sharing with all of them.
 func (m *Membership) sharingInstances(now time.Time) []string {
 	total, heard := 1, 1
 	for _, mb := range m.members {
