--- a/shared/admission/rate.go
+++ b/shared/admission/rate.go
@@ -45,7 +45,6 @@
 	rate   float64 // The whole rate, in requests per second; 0 before the first update.
 	// entries and targets are the versions of the sets that the share was computed from.
 	entries, targets uint64
-	holders          int
 	perSecond        float64 // 0 if this instance holds no share.
 }
 
@@ -58,17 +57,18 @@
 	}
 	held, first := r.perSecond > 0, r.rate == 0
 	r.rate, r.entries, r.targets = rate, entries.version, s.targetsVersion
-	r.holders, r.perSecond = bound.holders(rate, entries.count(), len(s.targetIDs)), 0
-	number, holds := entries.holder(index, len(s.targetIDs), r.holders)
+	holders := bound.holders(rate, entries.count(), len(s.targetIDs))
+	number, holds := entries.holder(index, len(s.targetIDs), holders)
 	if !holds {
+		r.perSecond = 0
 		return
 	}
-	r.perSecond = rate / float64(r.holders)
+	r.perSecond = rate / float64(holders)
 	if !held {
 		r.tokens = tokenBucket{at: at}
 	}
 	if first {
-		r.tokens.tokens = float64(number+1) / float64(r.holders)
+		r.tokens.tokens = float64(number+1) / float64(holders)
 	}
 }
 
