Look up no group and no target twice while choosing a target

Reading the change once more: each choice asked for the state of every target's group and looked up each target a second time for its rates, and cleared a share that was clear already. The latest pause of all groups saves the first, the target is passed on, and only a share in use is cleared. Behaviour as before; the tests of shared/admission pass.

--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -35,6 +35,9 @@
 	// passModels holds a model for each group; targets without a group share one.
 	passModels map[string]*passModel
 	maxGap     time.Duration // Largest MaxGap of all requests so far.
+	// pausedUntil is the latest pausedUntil of all groups. Outside of pauses it saves
+	// looking up each group.
+	pausedUntil time.Time
 
 	// finishInterval is the smoothed interval between two finished requests, measured
 	// while requests wait.
@@ -195,7 +198,7 @@
 			continue // Retries avoid excluded ranks as well.
 		}
 		limit += extra
-		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || st.rateWait(at, s, index) > 0 {
+		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || st.rateWait(at, s, t, index) > 0 {
 			continue
 		}
 		// Free capacity is compared, because limits differ between groups.
@@ -238,7 +241,7 @@
 		if limits(t) == 0 || st.isClosed(at, s, t.Group) {
 			continue
 		}
-		wait := st.rateWait(at, s, i)
+		wait := st.rateWait(at, s, t, i)
 		if wait == 0 {
 			return 0
 		}
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -220,7 +220,7 @@
 // isClosed reports whether a group waits for a missing rank, as any instance or one of its
 // targets reports.
 func (st *State) isClosed(at time.Time, s *service, group string) bool {
-	return st.closedGroups[group] || group != "" && at.Before(s.passModelOf(group).pausedUntil)
+	return st.closedGroups[group] || at.Before(s.pausedUntil) && group != "" && at.Before(s.passModelOf(group).pausedUntil)
 }
 
 // allClosed reports whether all groups of a service are closed.
@@ -379,7 +379,8 @@
 	switch {
 	case e.Outcome == GroupDown:
 		if t, ok := s.targets[e.Target]; ok {
-			s.passModelOf(t.Group).pausedUntil = at.Add(groupPause)
+			s.pausedUntil = at.Add(groupPause)
+			s.passModelOf(t.Group).pausedUntil = s.pausedUntil
 		}
 		if st.allClosed(at, s) {
 			effects = append(effects, st.refuseWaiting(s)...)
--- a/shared/admission/target.go
+++ b/shared/admission/target.go
@@ -74,12 +74,11 @@
 	}
 }
 
-// rateWait returns how long this instance must wait until it may send a request to the
+// rateWait returns how long this instance must wait until it may send a request to t, the
 // i-th target of a service: 0 if it may, noToken if it has no share of a rate. The cold
 // rate applies to warm targets as well, because a target may become cold without
 // reporting it.
-func (st *State) rateWait(at time.Time, s *service, i int) time.Duration {
-	t := s.targets[s.targetIDs[i]]
+func (st *State) rateWait(at time.Time, s *service, t *target, i int) time.Duration {
 	wait := time.Duration(0)
 	if s.ColdRate > 0 {
 		t.coldRate.update(at, coldRateBound, s.ColdRate, &st.entries, s, i)
@@ -87,7 +86,9 @@
 	}
 	limit := st.limits.perSecond(t)
 	if limit == 0 {
-		t.namedRate = rateShare{}
+		if t.namedRate.rate > 0 {
+			t.namedRate = rateShare{}
+		}
 		return wait
 	}
 	t.namedRate.update(at, namedRateBound, limit, &st.entries, s, i)
@@ -96,8 +97,8 @@
 
 // updateShares updates the shares of the rates of all targets of a service.
 func (st *State) updateShares(at time.Time, s *service) {
-	for i := range s.targetIDs {
-		st.rateWait(at, s, i)
+	for i, id := range s.targetIDs {
+		st.rateWait(at, s, s.targets[id], i)
 	}
 }
 
