Log listings of the store with their era, and operators' records that are not taken

The logs could not tell a reader that waits at an offset of before the restore from one that takes a new record for an old one. topicListed has the end of a listing and the era that the store's responses name; recordIgnored names an operators' record that was read and not taken, with the offset held. No decision changes.

--- a/router/core/core.go
+++ b/router/core/core.go
@@ -278,13 +278,28 @@
 			c.directory.Advance(r.Topic, r.Offset+1)
 		}
 	}
+	c.logIgnored(records, source)
 	return c.applyNewRecords(c.directory.Apply(records), source)
 }
 
+// logIgnored logs the operators' records from the store that are not newer than those in
+// use.
+func (c *Core) logIgnored(records []fleet.Record, source string) {
+	for _, r := range records {
+		held, ok := c.directory.Newest(r.Topic, r.Key)
+		if source == SourceStore && r.Topic == fleet.OperatorTopic && ok && held.Offset >= r.Offset {
+			events.Log(c.options.Logger, events.RecordIgnored, log.Fields{
+				"topic": r.Topic.String(), "key": r.Key, "offset": r.Offset, "held": held.Offset, "source": source,
+			})
+		}
+	}
+}
+
 // ApplyTopicListing applies a listing of the newest records of all keys in a topic.
 func (c *Core) ApplyTopicListing(topic fleet.Topic, l platform.Listing) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.logIgnored(l.Records, SourceStore)
 	c.applyNewRecords(c.directory.ApplyListing(topic, l.Records, l.End), "listing")
 }
 
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -107,6 +107,9 @@
 		if err != nil {
 			return from, err
 		}
+		events.Log(f.Logger, events.TopicListed, log.Fields{
+			"topic": topic.String(), "era": listing.Era, "end": listing.End, "records": len(listing.Records),
+		})
 		if topic == fleet.EntryTopic {
 			f.OnEntryRecords(listing.Records)
 		} else {
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -37,6 +37,8 @@
 	ConfigurationTaken Event = 1106
 	TargetsChanged     Event = 1107
 	EntriesChanged     Event = 1108
+	TopicListed        Event = 1109
+	RecordIgnored      Event = 1110
 	RequestEnded       Event = 1303
 	RequestDispatched  Event = 2011
 	RequestTurnedAway  Event = 2012
@@ -83,6 +85,8 @@
 	ConfigurationTaken: "configurationTaken",
 	TargetsChanged:     "targetsChanged",
 	EntriesChanged:     "entriesChanged",
+	TopicListed:        "topicListed",
+	RecordIgnored:      "recordIgnored",
 	RequestEnded:       "requestEnded",
 	RequestDispatched:  "requestDispatched",
 	RequestTurnedAway:  "requestTurnedAway",
