Order records by the store's era before their offset

All instances read the new configuration and ignored it: the directory, the follower and the peers' messages ordered records by offset alone, and offsets are given out again after a restore.

fleet.Position, the era and the offset, takes the place of the offset in records, listings, reads, the directory, ChangedSince and the peers' messages. A read that is answered in another era is discarded and the topic listed again, also when as many records were written again as were lost, so that no read fails. A new era may begin with old records: of two eras' records the one that its writer numbered higher is newer (version; start and heartbeats of a target), and a removed target's last record does not return. Older peers name no era and count as era 0.

--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -861,9 +861,9 @@
 	d := deploy(t, 2, map[string]platformtest.Handler{"i-1": echo})
 	second := d.routers[1]
 	d.eventually("the second instance knows both", func() bool { return len(second.entries.Callers()) == 2 })
-	offset := d.routers[0].core.End(0)
+	end := d.routers[0].core.End(fleet.OperatorTopic)
 	d.store.PutConfiguration(platformtest.Configuration(3, testRoutes("svc"), map[string]string{"k3": "org"}))
-	d.eventually("the first instance has read the change", func() bool { return d.routers[0].core.End(0) > offset })
+	d.eventually("the first instance has read the change", func() bool { return end.Before(d.routers[0].core.End(fleet.OperatorTopic)) })
 	d.eventually("the second instance has applied the change", func() bool { return second.core.View().Configuration.Version == 3 })
 }
 
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -68,11 +68,11 @@
 	mutex     sync.Mutex
 	admission *admission.State
 	directory *fleet.Directory
-	// changeOffsets holds, by topic and key, the offset of the last record that changed
+	// changes holds, by topic and key, the position of the last record that changed
 	// anything except a heartbeat.
-	changeOffsets map[fleet.Topic]map[string]int64
-	requests      map[admission.RequestID]decisionSenders
-	next          admission.RequestID
+	changes  map[fleet.Topic]map[string]fleet.Position
+	requests map[admission.RequestID]decisionSenders
+	next     admission.RequestID
 
 	configuration    *fleet.Configuration    // The latest; nil before the first.
 	targets          map[string]fleet.Target // All readable registrations, by key.
@@ -85,14 +85,14 @@
 // New returns a Core without configuration or targets.
 func New(o Options) *Core {
 	c := &Core{
-		options:       o,
-		admission:     admission.New(o.Instance, o.DataCentre, o.RetryBudget),
-		directory:     fleet.NewDirectory(),
-		changeOffsets: make(map[fleet.Topic]map[string]int64),
-		requests:      make(map[admission.RequestID]decisionSenders),
-		targets:       make(map[string]fleet.Target),
-		expired:       make(map[string]time.Time),
-		evacuated:     make(map[string]bool),
+		options:   o,
+		admission: admission.New(o.Instance, o.DataCentre, o.RetryBudget),
+		directory: fleet.NewDirectory(platform.CompareRecords),
+		changes:   make(map[fleet.Topic]map[string]fleet.Position),
+		requests:  make(map[admission.RequestID]decisionSenders),
+		targets:   make(map[string]fleet.Target),
+		expired:   make(map[string]time.Time),
+		evacuated: make(map[string]bool),
 	}
 	c.view.Store(&fleet.View{})
 	return c
@@ -242,29 +242,29 @@
 	return c.admission.Summaries()
 }
 
-// End returns the offset after the last record of a topic that was read from the store.
-// Records from peers may have higher offsets.
-func (c *Core) End(topic fleet.Topic) int64 {
+// End returns the position after the last record of a topic that was read from the store.
+// Records from peers may have later positions.
+func (c *Core) End(topic fleet.Topic) fleet.Position {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.directory.End(topic)
 }
 
-// ChangedSince returns the newest record of each key that has changed from an offset on,
-// sorted by offset. Records that only repeat a registration as a heartbeat are left out.
-func (c *Core) ChangedSince(topic fleet.Topic, from int64) []fleet.Record {
+// ChangedSince returns the newest record of each key that has changed from a position on,
+// sorted by position. Records that only repeat a registration as a heartbeat are left out.
+func (c *Core) ChangedSince(topic fleet.Topic, from fleet.Position) []fleet.Record {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var later []fleet.Record
-	for key, offset := range c.changeOffsets[topic] {
-		if offset < from {
+	for key, position := range c.changes[topic] {
+		if position.Before(from) {
 			continue
 		}
 		if r, ok := c.directory.Newest(topic, key); ok {
 			later = append(later, r)
 		}
 	}
-	slices.SortFunc(later, func(a, b fleet.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	slices.SortFunc(later, func(a, b fleet.Record) int { return a.Position.Compare(b.Position) })
 	return later
 }
 
@@ -275,7 +275,7 @@
 	defer c.mutex.Unlock()
 	if source == SourceStore {
 		for _, r := range records {
-			c.directory.Advance(r.Topic, r.Offset+1)
+			c.directory.Advance(r.Topic, r.Position.Add(1))
 		}
 	}
 	c.logIgnored(records, source)
@@ -287,9 +287,10 @@
 func (c *Core) logIgnored(records []fleet.Record, source string) {
 	for _, r := range records {
 		held, ok := c.directory.Newest(r.Topic, r.Key)
-		if source == SourceStore && r.Topic == fleet.OperatorTopic && ok && held.Offset >= r.Offset {
+		if source == SourceStore && r.Topic == fleet.OperatorTopic && ok && !c.directory.Supersedes(r, held) {
 			events.Log(c.options.Logger, events.RecordIgnored, log.Fields{
-				"topic": r.Topic.String(), "key": r.Key, "offset": r.Offset, "held": held.Offset, "source": source,
+				"topic": r.Topic.String(), "key": r.Key, "offset": r.Position.Offset, "era": r.Position.Era,
+				"held": held.Position.Offset, "heldEra": held.Position.Era, "source": source,
 			})
 		}
 	}
@@ -342,10 +343,10 @@
 
 // recordChange marks a record as a change, so that ChangedSince returns it.
 func (c *Core) recordChange(r fleet.Record) {
-	if c.changeOffsets[r.Topic] == nil {
-		c.changeOffsets[r.Topic] = make(map[string]int64)
+	if c.changes[r.Topic] == nil {
+		c.changes[r.Topic] = make(map[string]fleet.Position)
 	}
-	c.changeOffsets[r.Topic][r.Key] = r.Offset
+	c.changes[r.Topic][r.Key] = r.Position
 }
 
 // applyRecord applies one record and reports whether anything except a heartbeat changed.
@@ -362,7 +363,7 @@
 	if dataCentre, ok := platform.EvacuatedDataCentre(r); ok {
 		c.evacuated[dataCentre] = !r.Removed
 		events.Log(c.options.Logger, events.ConfigurationTaken, log.Fields{
-			"dataCentre": dataCentre, "out": !r.Removed, "offset": r.Offset, "source": source,
+			"dataCentre": dataCentre, "out": !r.Removed, "offset": r.Position.Offset, "era": r.Position.Era, "source": source,
 		})
 		return true
 	}
@@ -385,7 +386,7 @@
 		}
 	}
 	events.Log(c.options.Logger, events.ConfigurationTaken, log.Fields{
-		"version": configuration.Version, "offset": r.Offset, "source": source,
+		"version": configuration.Version, "offset": r.Position.Offset, "era": r.Position.Era, "source": source,
 		"routes": len(configuration.Routes), "keys": len(configuration.Organisations),
 	})
 	return true
@@ -433,13 +434,13 @@
 func (c *Core) logTarget(r fleet.Record, t fleet.Target, state, source string) {
 	events.Log(c.options.Logger, events.TargetsChanged, log.Fields{
 		"target": r.Key, "service": t.Service, "dataCentre": t.DataCentre, "state": state,
-		"offset": r.Offset, "source": source,
+		"offset": r.Position.Offset, "era": r.Position.Era, "source": source,
 	})
 }
 
 func (c *Core) logUnreadable(r fleet.Record, source string, err error) {
 	events.Log(c.options.Logger, events.RecordUnreadable, log.Fields{
-		"topic": r.Topic.String(), "key": r.Key, "offset": r.Offset, "source": source, "error": err.Error(),
+		"topic": r.Topic.String(), "key": r.Key, "offset": r.Position.Offset, "era": r.Position.Era, "source": source, "error": err.Error(),
 	})
 }
 
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -40,8 +40,8 @@
 	ApplyRecords(records []fleet.Record, source string) bool
 	HandleEvent(e admission.Event)
 	Running() map[string]int
-	End(topic fleet.Topic) int64
-	ChangedSince(topic fleet.Topic, from int64) []fleet.Record
+	End(topic fleet.Topic) fleet.Position
+	ChangedSince(topic fleet.Topic, from fleet.Position) []fleet.Record
 	// CrashEvidence returns the evidence of crashes and its version, without the evidence
 	// if the version is not newer than the given one.
 	CrashEvidence(since uint64) (admission.CrashEvidence, uint64)
@@ -78,14 +78,14 @@
 	received     time.Time // When its last state message arrived; zero before the first.
 	lastSeen     time.Time // When it registered or its last state message arrived.
 	stopping     bool
-	fencingToken uint64                // Its token as the leader; 0 if it is not.
-	unable       bool                  // Its last claim of leadership did not reach the store.
-	ends         map[fleet.Topic]int64 // The offsets up to which it has read the topics.
-	evidence     uint64                // The version of the crash evidence sent over the link.
-	limits       uint64                // The version of the targets' limits sent over the link.
-	sharing      bool                  // It shares limits with this instance; see sharingInstances.
-	cancel       context.CancelFunc    // Closes the link to it.
-	wake         chan struct{}         // Requests a state message at once.
+	fencingToken uint64                         // Its token as the leader; 0 if it is not.
+	unable       bool                           // Its last claim of leadership did not reach the store.
+	ends         map[fleet.Topic]fleet.Position // The positions up to which it has read the topics.
+	evidence     uint64                         // The version of the crash evidence sent over the link.
+	limits       uint64                         // The version of the targets' limits sent over the link.
+	sharing      bool                           // It shares limits with this instance; see sharingInstances.
+	cancel       context.CancelFunc             // Closes the link to it.
+	wake         chan struct{}                  // Requests a state message at once.
 }
 
 // NewMembership returns the membership of an instance that knows no other instances. The
@@ -120,7 +120,7 @@
 	link, cancel := context.WithCancel(m.ctx)
 	mb = &member{
 		instance: i, lastSeen: time.Now(), stopping: i.Stopping, sharing: !i.Stopping, cancel: cancel,
-		ends: make(map[fleet.Topic]int64), wake: make(chan struct{}, 1),
+		ends: make(map[fleet.Topic]fleet.Position), wake: make(chan struct{}, 1),
 	}
 	m.members[i.Name] = mb
 	events.Log(m.logger, events.EntriesChanged, log.Fields{"entry": i.Name, "incarnation": i.Incarnation, "state": "registered"})
@@ -199,15 +199,16 @@
 }
 
 // stateFor returns the state message for an instance. After the instance's first message,
-// which reports the offsets that it has read, it includes the records that it lacks.
+// which reports the positions that it has read up to, it includes the records that it lacks.
 func (m *Membership) stateFor(mb *member) *peer.EntryUpdate {
 	m.mutex.Lock()
 	operatorEnd, targetEnd, received := mb.ends[fleet.OperatorTopic], mb.ends[fleet.TargetTopic], !mb.received.IsZero()
 	stopping, groups := m.stopping, m.groups
 	m.mutex.Unlock()
+	operators, targets := m.core.End(fleet.OperatorTopic), m.core.End(fleet.TargetTopic)
 	state := &peer.EntryUpdate{
 		Instance: m.self.Name, Incarnation: m.self.Incarnation, Stopping: stopping, Duty: m.Duty(), Unable: m.Unable(),
-		OperatorEnd: m.core.End(fleet.OperatorTopic), TargetEnd: m.core.End(fleet.TargetTopic),
+		OperatorEnd: operators.Offset, OperatorEra: operators.Era, TargetEnd: targets.Offset, TargetEra: targets.Era,
 		Running: make(map[string]int32), Closed: groups.Closed, Paces: groups.Paces, Registration: m.registration,
 	}
 	for target, running := range m.core.Running() {
@@ -219,7 +220,7 @@
 		records := append(m.core.ChangedSince(fleet.OperatorTopic, operatorEnd), m.core.ChangedSince(fleet.TargetTopic, targetEnd)...)
 		for _, r := range records {
 			state.Records = append(state.Records, &peer.StoreRecord{
-				Topic: int32(r.Topic), Key: r.Key, Offset: r.Offset, Value: r.Value, Removed: r.Removed,
+				Topic: int32(r.Topic), Key: r.Key, Offset: r.Position.Offset, Era: r.Position.Era, Value: r.Value, Removed: r.Removed,
 			})
 		}
 	}
@@ -364,7 +365,8 @@
 		mb.received = time.Now()
 		mb.lastSeen, mb.sharing = mb.received, true
 		mb.stopping, mb.fencingToken, mb.unable = state.GetStopping(), state.GetDuty(), state.GetUnable()
-		mb.ends[fleet.OperatorTopic], mb.ends[fleet.TargetTopic] = state.GetOperatorEnd(), state.GetTargetEnd()
+		mb.ends[fleet.OperatorTopic] = fleet.Position{Era: state.GetOperatorEra(), Offset: state.GetOperatorEnd()}
+		mb.ends[fleet.TargetTopic] = fleet.Position{Era: state.GetTargetEra(), Offset: state.GetTargetEnd()}
 		if recovered {
 			events.Log(m.logger, events.EntriesChanged, log.Fields{"entry": state.GetInstance(), "state": "heard"})
 		}
@@ -376,7 +378,8 @@
 	records := make([]fleet.Record, len(state.GetRecords()))
 	for i, r := range state.GetRecords() {
 		records[i] = fleet.Record{
-			Topic: fleet.Topic(r.GetTopic()), Key: r.GetKey(), Offset: r.GetOffset(), Value: r.GetValue(), Removed: r.GetRemoved(),
+			Topic: fleet.Topic(r.GetTopic()), Key: r.GetKey(), Value: r.GetValue(), Removed: r.GetRemoved(),
+			Position: fleet.Position{Era: r.GetEra(), Offset: r.GetOffset()},
 		}
 	}
 	if m.core.ApplyRecords(records, state.GetInstance()) {
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -19,11 +19,11 @@
 // emptyCore is a Core without state.
 type emptyCore struct{}
 
-func (emptyCore) ApplyRecords([]fleet.Record, string) bool       { return false }
-func (emptyCore) HandleEvent(admission.Event)                    {}
-func (emptyCore) Running() map[string]int                        { return nil }
-func (emptyCore) End(fleet.Topic) int64                          { return 0 }
-func (emptyCore) ChangedSince(fleet.Topic, int64) []fleet.Record { return nil }
+func (emptyCore) ApplyRecords([]fleet.Record, string) bool                { return false }
+func (emptyCore) HandleEvent(admission.Event)                             {}
+func (emptyCore) Running() map[string]int                                 { return nil }
+func (emptyCore) End(fleet.Topic) fleet.Position                          { return fleet.Position{} }
+func (emptyCore) ChangedSince(fleet.Topic, fleet.Position) []fleet.Record { return nil }
 func (emptyCore) TargetLimitsSince(uint64) ([]admission.TargetLimit, uint64) {
 	return nil, 0
 }
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -72,26 +72,33 @@
 }
 
 // follow lists a topic and then reads its new records until the context ends. It lists
-// the topic again after a compaction.
+// the topic again after a compaction, and after the store was restored.
 func (f *Follower) follow(ctx context.Context, topic fleet.Topic) {
-	from := int64(-1)
+	var from fleet.Position
+	listed := false
 	for ctx.Err() == nil {
-		next, err := f.poll(ctx, topic, from)
+		var err error
+		if listed {
+			from, err = f.read(ctx, topic, from)
+		} else {
+			from, err = f.list(ctx, topic)
+		}
 		pause := time.Duration(0)
 		switch {
-		case errors.Is(err, platform.ErrCompacted):
-			next = -1
+		case isOutdated(err):
+			listed = false
 		case err != nil:
-			next, pause = from, retryInterval
+			pause = retryInterval
 		case topic == fleet.TargetTopic && f.IsStoreReader():
-			pause = readerInterval
+			listed, pause = true, readerInterval
 		case topic == fleet.TargetTopic:
-			pause = nonReaderInterval
+			listed, pause = true, nonReaderInterval
+		default:
+			listed = true
 		}
 		if ctx.Err() == nil {
 			f.updateAvailability(topic, err)
 		}
-		from = next
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -99,25 +106,32 @@
 	}
 }
 
-// poll lists a topic if from is negative, and otherwise reads its records from that
-// offset on. It returns the offset for the next call.
-func (f *Follower) poll(ctx context.Context, topic fleet.Topic, from int64) (int64, error) {
-	if from < 0 {
-		listing, err := f.Store.List(ctx, topic)
-		if err != nil {
-			return from, err
-		}
-		events.Log(f.Logger, events.TopicListed, log.Fields{
-			"topic": topic.String(), "era": listing.Era, "end": listing.End, "records": len(listing.Records),
-		})
-		if topic == fleet.EntryTopic {
-			f.OnEntryRecords(listing.Records)
-		} else {
-			f.Sink.ApplyTopicListing(topic, listing)
-		}
-		f.confirm(topic)
-		return listing.End, nil
+// isOutdated reports whether the store responded, but a topic must be listed again.
+func isOutdated(err error) bool {
+	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored)
+}
+
+// list lists a topic and returns the position from which to read.
+func (f *Follower) list(ctx context.Context, topic fleet.Topic) (fleet.Position, error) {
+	listing, err := f.Store.List(ctx, topic)
+	if err != nil {
+		return fleet.Position{}, err
+	}
+	events.Log(f.Logger, events.TopicListed, log.Fields{
+		"topic": topic.String(), "era": listing.End.Era, "end": listing.End.Offset, "records": len(listing.Records),
+	})
+	if topic == fleet.EntryTopic {
+		f.OnEntryRecords(listing.Records)
+	} else {
+		f.Sink.ApplyTopicListing(topic, listing)
 	}
+	f.confirm(topic)
+	return listing.End, nil
+}
+
+// read reads the records of a topic from a position on and returns the position for the
+// next read.
+func (f *Follower) read(ctx context.Context, topic fleet.Topic, from fleet.Position) (fleet.Position, error) {
 	wait := longPollTimeout
 	switch topic {
 	case fleet.TargetTopic:
@@ -152,7 +166,7 @@
 func (f *Follower) updateAvailability(topic fleet.Topic, err error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	unavailable := err != nil && !errors.Is(err, platform.ErrCompacted)
+	unavailable := err != nil && !isOutdated(err)
 	if unavailable == f.unavailable {
 		return
 	}
--- a/shared/fleet/directory.go
+++ b/shared/fleet/directory.go
@@ -7,26 +7,35 @@
 )
 
 // Directory holds the newest record of each key of the operators' and the targets'
-// topics, received from the store or from peers. Of two records, the one with the
-// higher offset is newer, so records may arrive repeatedly and in any order. It is not
-// safe for concurrent use.
+// topics, received from the store or from peers. Of two records, the one with the later
+// position is newer, so records may arrive repeatedly and in any order. A later era may
+// begin with old records: those of the copy that the store was restored from. Of two eras'
+// records, the one that their writer numbered higher is newer, if it numbers them. A
+// Directory is not safe for concurrent use.
 type Directory struct {
-	records    map[Topic]map[string]Record
-	endOffsets map[Topic]int64
+	records      map[Topic]map[string]Record
+	ends         map[Topic]Position
+	compareValue CompareFunc
 }
 
+// CompareFunc orders two records of a key by the numbers that their writer gave them. It
+// reports false if there are none.
+type CompareFunc func(a, b Record) (order int, numbered bool)
+
 // NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
-	return &Directory{records: make(map[Topic]map[string]Record), endOffsets: make(map[Topic]int64)}
+func NewDirectory(compareValue CompareFunc) *Directory {
+	return &Directory{records: make(map[Topic]map[string]Record), ends: make(map[Topic]Position), compareValue: compareValue}
 }
 
-// End returns the offset after the last record of a topic that was read from the store.
-// Records from peers may have higher offsets.
-func (d *Directory) End(topic Topic) int64 { return d.endOffsets[topic] }
+// End returns the position after the last record of a topic that was read from the store.
+// Records from peers may have later positions.
+func (d *Directory) End(topic Topic) Position { return d.ends[topic] }
 
-// Advance records that a topic was read from the store up to an end offset, exclusive.
-func (d *Directory) Advance(topic Topic, end int64) {
-	d.endOffsets[topic] = max(d.endOffsets[topic], end)
+// Advance records that a topic was read from the store up to an end, exclusive.
+func (d *Directory) Advance(topic Topic, end Position) {
+	if d.ends[topic].Before(end) {
+		d.ends[topic] = end
+	}
 }
 
 // Apply adds records and returns those that are newer than the stored ones.
@@ -38,19 +47,35 @@
 			keys = make(map[string]Record)
 			d.records[r.Topic] = keys
 		}
-		if existing, ok := keys[r.Key]; ok && existing.Offset >= r.Offset {
+		existing, ok := keys[r.Key]
+		if ok && !d.Supersedes(r, existing) {
 			continue
 		}
+		if r.Removed && len(r.Value) == 0 {
+			r.Value = existing.Value
+		}
 		keys[r.Key] = r
 		changed = append(changed, r)
 	}
 	return changed
 }
 
+// Supersedes reports whether a record is newer than an existing one of the same key. The
+// last value of a removed key does not return with a copy.
+func (d *Directory) Supersedes(r, existing Record) bool {
+	if r.Position.Era != existing.Position.Era && !r.Removed {
+		order, numbered := d.compareValue(r, existing)
+		if numbered && (order != 0 || existing.Removed) {
+			return order > 0
+		}
+	}
+	return existing.Position.Before(r.Position)
+}
+
 // ApplyListing adds a listing of a topic, which holds the newest record of each key up
-// to the end offset. Stored keys that the listing lacks were removed before its end.
-// It returns the records that changed, with removals.
-func (d *Directory) ApplyListing(topic Topic, records []Record, end int64) []Record {
+// to the end. Stored keys that the listing lacks were removed before its end, or lost by a
+// restore. It returns the records that changed, with removals.
+func (d *Directory) ApplyListing(topic Topic, records []Record, end Position) []Record {
 	changed := d.Apply(records)
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
@@ -58,8 +83,8 @@
 	}
 	var removed []Record
 	for key, r := range d.records[topic] {
-		if !listed[key] && !r.Removed && r.Offset < end {
-			removed = append(removed, Record{Topic: topic, Key: key, Offset: end - 1, Removed: true})
+		if !listed[key] && !r.Removed && r.Position.Before(end) {
+			removed = append(removed, Record{Topic: topic, Key: key, Position: end.Add(-1), Removed: true})
 		}
 	}
 	d.Advance(topic, end)
--- /dev/null
+++ b/shared/fleet/position.go
@@ -0,0 +1,25 @@
+package fleet
+
+import "cmp"
+
+// Position is a place in a topic of the store. When the store is restored from a copy, a
+// new era begins, and offsets after the copy's are given out again.
+type Position struct {
+	// Era counts how often the store was restored.
+	Era    uint64
+	Offset int64
+}
+
+// Compare returns a negative number if p is before o, a positive one if it is after o,
+// and 0 if they are equal.
+func (p Position) Compare(o Position) int {
+	return cmp.Or(cmp.Compare(p.Era, o.Era), cmp.Compare(p.Offset, o.Offset))
+}
+
+// Before reports whether p is before o.
+func (p Position) Before(o Position) bool { return p.Compare(o) < 0 }
+
+// Add returns the position that is a number of records after p in the same era.
+func (p Position) Add(records int64) Position {
+	return Position{Era: p.Era, Offset: p.Offset + records}
+}
--- a/shared/fleet/record.go
+++ b/shared/fleet/record.go
@@ -36,10 +36,11 @@
 
 // Record is one record of a topic. The newest record of a key replaces older ones.
 type Record struct {
-	Topic  Topic
-	Key    string
-	Offset int64
-	Value  []byte
+	Topic    Topic
+	Key      string
+	Position Position
+	// Value is the value of the key; of a removed one in a Directory, its last value.
+	Value []byte
 	// Removed reports that the record removes its key.
 	Removed bool
 }
