Derive fencing tokens from the store's era and the offset of a claim

A token was the offset of a claim plus one.

A token now holds the era of the claim above its offset.

--- a/router/planner/leadership.go
+++ b/router/planner/leadership.go
@@ -26,15 +26,15 @@
 // Store stores the leadership claims, and the demand for the next leader.
 type Store interface {
 	// AppendAt appends a record if the topic's end offset is end, and returns the record's
-	// offset. Otherwise the error matches platform.ErrConflict and the returned offset is
-	// the topic's end.
-	AppendAt(ctx context.Context, topic fleet.Topic, value []byte, end int64) (int64, error)
+	// position. Otherwise the error matches platform.ErrConflict and the returned position
+	// is the topic's end.
+	AppendAt(ctx context.Context, topic fleet.Topic, value []byte, end int64) (fleet.Position, error)
 	Put(ctx context.Context, topic fleet.Topic, key string, value []byte) error
 	List(ctx context.Context, topic fleet.Topic) (platform.Listing, error)
 }
 
 // Leadership elects the instance whose planner plans the maps. An instance claims
-// leadership by a conditional append to the store. The offset of the record determines
+// leadership by a conditional append to the store. The position of the record determines
 // the fencing token, so that a later leader has a higher one.
 type Leadership struct {
 	Instance string
@@ -119,18 +119,18 @@
 	if err != nil {
 		return 0
 	}
-	offset, err := l.Store.AppendAt(ctx, fleet.LeadershipTopic, value, l.topicEnd)
+	position, err := l.Store.AppendAt(ctx, fleet.LeadershipTopic, value, l.topicEnd)
 	l.storeUnreachable.Store(err != nil && !errors.Is(err, platform.ErrConflict))
 	switch {
 	case errors.Is(err, platform.ErrConflict):
-		l.topicEnd = offset
+		l.topicEnd = position.Offset
 		return 0
 	case err != nil:
 		return 0 // The store's Follower logs outages.
 	}
-	l.topicEnd = offset + 1
-	token := uint64(offset) + 1
+	l.topicEnd = position.Offset + 1
+	token := position.FencingToken()
 	l.token.Store(token)
-	events.Log(l.Logger, events.DutyTaken, log.Fields{"token": token})
+	events.Log(l.Logger, events.DutyTaken, log.Fields{"token": token, "era": position.Era, "offset": position.Offset})
 	return token
 }
--- a/shared/fleet/position.go
+++ b/shared/fleet/position.go
@@ -23,3 +23,10 @@
 func (p Position) Add(records int64) Position {
 	return Position{Era: p.Era, Offset: p.Offset + records}
 }
+
+// tokensPerEra is the number of fencing tokens of an era, one for each offset.
+const tokensPerEra = 1 << 20
+
+// FencingToken returns the fencing token of the leader whose claim has this position: at
+// least 1, and higher than those of all earlier positions.
+func (p Position) FencingToken() uint64 { return p.Era*tokensPerEra + uint64(p.Offset) + 1 }
--- a/shared/fleet/record.go
+++ b/shared/fleet/record.go
@@ -12,7 +12,7 @@
 	// EntryTopic holds the registrations of entry instances.
 	EntryTopic
 	// LeadershipTopic holds the claims by which instances become the active planner. The
-	// offset of a claim determines its fencing token.
+	// position of a claim determines its fencing token.
 	LeadershipTopic
 	// DemandTopic holds the measured demand for experts, by group of ranks.
 	DemandTopic
