Keep evacuations and targets for two seconds that a restored store lacks

After a restore from a copy, an evacuation that the copy lacks ended at once at all instances, and requests reached the data centre until the operators had written it again. Targets that had registered after the copy were dropped at once if the outage before had not been noticed. The first record or listing of a later era now starts a grace of 2 s, in which writers write again what the store has lost: removals of evacuations wait for its end, and removals of targets count as expiries, as after an outage. storeRestored is logged.

TestEvacuationThatRestoreLosesStaysInForceUntilWrittenAgain failed before (served at once); TestTargetsThatRestoreLosesHaveTimeToRegister and TestTargetThatRestoreShowsAsReadyGetsNoRequests guard the rest.

--- a/router/caller/restore_test.go
+++ b/router/caller/restore_test.go
@@ -59,3 +59,65 @@
 		return c != nil && c.Version == 5
 	})
 }
+
+// served reports whether the first instance serves a request.
+func (d *deployment) served() bool {
+	return d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: "a"}).status == http.StatusOK
+}
+
+func TestEvacuationThatRestoreLosesStaysInForceUntilWrittenAgain(t *testing.T) {
+	for name, again := range map[string]bool{"written again": true, "not written again": false} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, 1, map[string]platformtest.Handler{"i-1": echo})
+			copied := d.store.Copy()
+			d.store.Evacuate("dc-a", true)
+			d.eventually("the data centre is evacuated", func() bool { return !d.served() })
+			d.store.Restore(copied)
+			d.store.PutTarget("i-1", d.replicas["i-1"].Registration("svc", "dc-a", "ready"))
+			rewrite := time.Now().Add(time.Second)
+			for time.Now().Before(rewrite) {
+				d.Assert(d.served(), qt.IsFalse)
+				time.Sleep(10 * time.Millisecond)
+			}
+			if !again {
+				d.eventually("the evacuation ends", d.served)
+				return
+			}
+			d.store.Evacuate("dc-a", true)
+			for time.Since(rewrite) < 2*time.Second {
+				d.Assert(d.served(), qt.IsFalse)
+				time.Sleep(10 * time.Millisecond)
+			}
+			d.store.Evacuate("dc-a", false)
+			d.eventually("the evacuation ends", d.served)
+		})
+	}
+}
+
+func TestTargetsThatRestoreLosesHaveTimeToRegister(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": echo})
+	known := func() int { return len(d.routers[0].core.View().Targets["svc"]) }
+	copied := d.store.Copy()
+	d.startReplica(t, "i-2", echo)
+	d.eventually("the target is in use", func() bool { return known() == 2 })
+	d.store.Restore(copied)
+	for began := time.Now(); time.Since(began) < 1500*time.Millisecond; time.Sleep(10 * time.Millisecond) {
+		d.Assert(known(), qt.Equals, 2)
+	}
+	d.eventually("a target that does not register is gone", func() bool { return known() == 1 })
+}
+
+func TestTargetThatRestoreShowsAsReadyGetsNoRequests(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": echo, "i-2": echo, "i-3": echo})
+	known := func() int { return len(d.routers[0].core.View().Targets["svc"]) }
+	copied := d.store.Copy()
+	d.store.PutTarget("i-1", d.replicas["i-1"].Registration("svc", "dc-a", "draining"))
+	d.store.PutTarget("i-2", nil)
+	d.eventually("one target is draining and one is gone", func() bool { return known() == 1 })
+	d.store.Restore(copied)
+	for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(10 * time.Millisecond) {
+		d.Assert(known(), qt.Equals, 1)
+	}
+	d.store.PutTarget("i-1", d.replicas["i-1"].Registration("svc", "dc-a", "ready"))
+	d.eventually("a target that registers again is in use", func() bool { return known() == 2 })
+}
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -27,6 +27,9 @@
 	// expiryWindow is how long after the store's recovery a removal counts as an
 	// expiry.
 	expiryWindow = 2 * time.Second
+	// restoreGrace is how long after a restore of the store an evacuation that the copy
+	// lacks remains in force. Operators write again what the store has lost.
+	restoreGrace = 2 * time.Second
 	// decisionBuffer is the capacity of a request's channel of decisions. Each Submit or
 	// Retry leads to one decision, so sending does not block.
 	decisionBuffer = 2
@@ -78,7 +81,10 @@
 	targets          map[string]fleet.Target // All readable registrations, by key.
 	expired          map[string]time.Time    // When expired targets are removed, by key.
 	evacuated        map[string]bool         // By data centre.
+	lapsing          map[string]time.Time    // When evacuations that a restore may have lost end, by data centre.
 	storeRecovered   time.Time
+	era              uint64 // The latest era of the store that any record or listing is from.
+	restored         time.Time
 	storeUnavailable bool
 }
 
@@ -93,6 +99,7 @@
 		targets:   make(map[string]fleet.Target),
 		expired:   make(map[string]time.Time),
 		evacuated: make(map[string]bool),
+		lapsing:   make(map[string]time.Time),
 	}
 	c.view.Store(&fleet.View{})
 	return c
@@ -128,8 +135,8 @@
 	c.reduce(time.Now(), e)
 }
 
-// Tick removes expired targets after expiryGrace and refuses requests that have waited
-// too long.
+// Tick removes expired targets after expiryGrace, ends evacuations that a restore has lost
+// after restoreGrace, and refuses requests that have waited too long.
 func (c *Core) Tick() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -141,6 +148,13 @@
 			c.publish(now)
 		}
 	}
+	for dataCentre, until := range c.lapsing {
+		if now.After(until) {
+			delete(c.lapsing, dataCentre)
+			c.setEvacuated(dataCentre, false, fleet.Position{Era: c.era}, "restore")
+			c.publish(now)
+		}
+	}
 	c.reduce(now, admission.Tick{})
 }
 
@@ -273,8 +287,9 @@
 func (c *Core) ApplyRecords(records []fleet.Record, source string) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if source == SourceStore {
-		for _, r := range records {
+	for _, r := range records {
+		c.observeEra(r.Position.Era)
+		if source == SourceStore {
 			c.directory.Advance(r.Topic, r.Position.Add(1))
 		}
 	}
@@ -300,10 +315,25 @@
 func (c *Core) ApplyTopicListing(topic fleet.Topic, l platform.Listing) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.observeEra(l.End.Era)
 	c.logIgnored(l.Records, SourceStore)
 	c.applyNewRecords(c.directory.ApplyListing(topic, l.Records, l.End), "listing")
 }
 
+// observeEra records when the store was restored. Targets and operators then have time to
+// write again what it has lost.
+func (c *Core) observeEra(era uint64) {
+	if era <= c.era {
+		return
+	}
+	if c.era != 0 {
+		c.restored = time.Now()
+		c.storeRecovered = c.restored
+		events.Log(c.options.Logger, events.StoreRestored, log.Fields{"era": era, "previous": c.era})
+	}
+	c.era = era
+}
+
 // SetStoreUnavailable sets whether the store is unavailable.
 func (c *Core) SetStoreUnavailable(unavailable bool) {
 	c.mutex.Lock()
@@ -352,19 +382,21 @@
 // applyRecord applies one record and reports whether anything except a heartbeat changed.
 func (c *Core) applyRecord(now time.Time, r fleet.Record, source string) bool {
 	if r.Topic == fleet.OperatorTopic {
-		return c.applyOperatorRecord(r, source)
+		return c.applyOperatorRecord(now, r, source)
 	}
 	return c.applyTargetRecord(now, r, source)
 }
 
 // applyOperatorRecord applies the start or the end of an evacuation, or a newer
 // configuration. It reports whether it applied the record.
-func (c *Core) applyOperatorRecord(r fleet.Record, source string) bool {
+func (c *Core) applyOperatorRecord(now time.Time, r fleet.Record, source string) bool {
 	if dataCentre, ok := platform.EvacuatedDataCentre(r); ok {
-		c.evacuated[dataCentre] = !r.Removed
-		events.Log(c.options.Logger, events.ConfigurationTaken, log.Fields{
-			"dataCentre": dataCentre, "out": !r.Removed, "offset": r.Position.Offset, "era": r.Position.Era, "source": source,
-		})
+		if until := c.restored.Add(restoreGrace); r.Removed && c.evacuated[dataCentre] && now.Before(until) {
+			c.lapsing[dataCentre] = until
+			return true
+		}
+		delete(c.lapsing, dataCentre)
+		c.setEvacuated(dataCentre, !r.Removed, r.Position, source)
 		return true
 	}
 	if !platform.IsConfigurationRecord(r) || r.Removed {
@@ -392,6 +424,14 @@
 	return true
 }
 
+// setEvacuated starts or ends the evacuation of a data centre.
+func (c *Core) setEvacuated(dataCentre string, out bool, position fleet.Position, source string) {
+	c.evacuated[dataCentre] = out
+	events.Log(c.options.Logger, events.ConfigurationTaken, log.Fields{
+		"dataCentre": dataCentre, "out": out, "offset": position.Offset, "era": position.Era, "source": source,
+	})
+}
+
 // applyTargetRecord applies one registration or its removal, and reports whether anything
 // except a heartbeat changed.
 func (c *Core) applyTargetRecord(now time.Time, r fleet.Record, source string) bool {
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -39,6 +39,7 @@
 	EntriesChanged     Event = 1108
 	TopicListed        Event = 1109
 	RecordIgnored      Event = 1110
+	StoreRestored      Event = 1111
 	RequestEnded       Event = 1303
 	RequestDispatched  Event = 2011
 	RequestTurnedAway  Event = 2012
@@ -87,6 +88,7 @@
 	EntriesChanged:     "entriesChanged",
 	TopicListed:        "topicListed",
 	RecordIgnored:      "recordIgnored",
+	StoreRestored:      "storeRestored",
 	RequestEnded:       "requestEnded",
 	RequestDispatched:  "requestDispatched",
 	RequestTurnedAway:  "requestTurnedAway",
