Send peers the configuration in use if theirs is older

An instance that started after a restore of the store, before the operators had written their state again, read the older configuration of the copy and kept it: the others' record is from an earlier era than what it had read, so ChangedSince left it out. State messages now have the version of the sender's configuration, and a record with a higher version is sent whatever its position.

--- a/router/core/core.go
+++ b/router/core/core.go
@@ -77,15 +77,16 @@
 	requests map[admission.RequestID]decisionSenders
 	next     admission.RequestID
 
-	configuration    *fleet.Configuration    // The latest; nil before the first.
-	targets          map[string]fleet.Target // All readable registrations, by key.
-	expired          map[string]time.Time    // When expired targets are removed, by key.
-	evacuated        map[string]bool         // By data centre.
-	lapsing          map[string]time.Time    // When evacuations that a restore may have lost end, by data centre.
-	storeRecovered   time.Time
-	era              uint64 // The latest era of the store that any record or listing is from.
-	restored         time.Time
-	storeUnavailable bool
+	configuration       *fleet.Configuration    // The latest; nil before the first.
+	configurationRecord fleet.Record            // The record of the latest configuration.
+	targets             map[string]fleet.Target // All readable registrations, by key.
+	expired             map[string]time.Time    // When expired targets are removed, by key.
+	evacuated           map[string]bool         // By data centre.
+	lapsing             map[string]time.Time    // When evacuations that a restore may have lost end, by data centre.
+	storeRecovered      time.Time
+	era                 uint64 // The latest era of the store that any record or listing is from.
+	restored            time.Time
+	storeUnavailable    bool
 }
 
 // New returns a Core without configuration or targets.
@@ -282,6 +283,22 @@
 	return later
 }
 
+// NewerConfiguration returns the record of the configuration in use if its version is
+// higher than the given one.
+func (c *Core) NewerConfiguration(version uint64) (fleet.Record, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.configurationRecord, c.configuration != nil && c.configuration.Version > version
+}
+
+// ConfigurationVersion returns the version of the configuration in use, or 0.
+func (c *Core) ConfigurationVersion() uint64 {
+	if configuration := c.View().Configuration; configuration != nil {
+		return configuration.Version
+	}
+	return 0
+}
+
 // ApplyRecords applies records from the store or a peer. It reports whether anything
 // except a heartbeat changed.
 func (c *Core) ApplyRecords(records []fleet.Record, source string) bool {
@@ -410,7 +427,7 @@
 	if c.configuration != nil && configuration.Version <= c.configuration.Version {
 		return false
 	}
-	c.configuration = configuration
+	c.configuration, c.configurationRecord = configuration, r
 	// Registrations of services that were unknown until now become readable.
 	for _, r := range c.directory.Records(fleet.TargetTopic) {
 		if c.applyTargetRecord(time.Now(), r, source) {
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -42,6 +42,10 @@
 	Running() map[string]int
 	End(topic fleet.Topic) fleet.Position
 	ChangedSince(topic fleet.Topic, from fleet.Position) []fleet.Record
+	// ConfigurationVersion returns the version of the configuration in use, or 0, and
+	// NewerConfiguration its record if the version is higher than the given one.
+	ConfigurationVersion() uint64
+	NewerConfiguration(version uint64) (fleet.Record, bool)
 	// CrashEvidence returns the evidence of crashes and its version, without the evidence
 	// if the version is not newer than the given one.
 	CrashEvidence(since uint64) (admission.CrashEvidence, uint64)
@@ -74,18 +78,19 @@
 
 // member is the last known state of another entry instance.
 type member struct {
-	instance     fleet.Instance
-	received     time.Time // When its last state message arrived; zero before the first.
-	lastSeen     time.Time // When it registered or its last state message arrived.
-	stopping     bool
-	fencingToken uint64                         // Its token as the leader; 0 if it is not.
-	unable       bool                           // Its last claim of leadership did not reach the store.
-	ends         map[fleet.Topic]fleet.Position // The positions up to which it has read the topics.
-	evidence     uint64                         // The version of the crash evidence sent over the link.
-	limits       uint64                         // The version of the targets' limits sent over the link.
-	sharing      bool                           // It shares limits with this instance; see sharingInstances.
-	cancel       context.CancelFunc             // Closes the link to it.
-	wake         chan struct{}                  // Requests a state message at once.
+	instance      fleet.Instance
+	received      time.Time // When its last state message arrived; zero before the first.
+	lastSeen      time.Time // When it registered or its last state message arrived.
+	stopping      bool
+	fencingToken  uint64                         // Its token as the leader; 0 if it is not.
+	unable        bool                           // Its last claim of leadership did not reach the store.
+	ends          map[fleet.Topic]fleet.Position // The positions up to which it has read the topics.
+	configuration uint64                         // The version of the configuration that it uses.
+	evidence      uint64                         // The version of the crash evidence sent over the link.
+	limits        uint64                         // The version of the targets' limits sent over the link.
+	sharing       bool                           // It shares limits with this instance; see sharingInstances.
+	cancel        context.CancelFunc             // Closes the link to it.
+	wake          chan struct{}                  // Requests a state message at once.
 }
 
 // NewMembership returns the membership of an instance that knows no other instances. The
@@ -202,6 +207,7 @@
 // which reports the positions that it has read up to, it includes the records that it lacks.
 func (m *Membership) stateFor(mb *member) *peer.EntryUpdate {
 	m.mutex.Lock()
+	configuration := mb.configuration
 	operatorEnd, targetEnd, received := mb.ends[fleet.OperatorTopic], mb.ends[fleet.TargetTopic], !mb.received.IsZero()
 	stopping, groups := m.stopping, m.groups
 	m.mutex.Unlock()
@@ -209,7 +215,8 @@
 	state := &peer.EntryUpdate{
 		Instance: m.self.Name, Incarnation: m.self.Incarnation, Stopping: stopping, Duty: m.Duty(), Unable: m.Unable(),
 		OperatorEnd: operators.Offset, OperatorEra: operators.Era, TargetEnd: targets.Offset, TargetEra: targets.Era,
-		Running: make(map[string]int32), Closed: groups.Closed, Paces: groups.Paces, Registration: m.registration,
+		Configuration: m.core.ConfigurationVersion(),
+		Running:       make(map[string]int32), Closed: groups.Closed, Paces: groups.Paces, Registration: m.registration,
 	}
 	for target, running := range m.core.Running() {
 		state.Running[target] = int32(running)
@@ -218,6 +225,11 @@
 	m.addTargetLimits(state, mb)
 	if received {
 		records := append(m.core.ChangedSince(fleet.OperatorTopic, operatorEnd), m.core.ChangedSince(fleet.TargetTopic, targetEnd)...)
+		// A restore may have lost a configuration that the instance has never read.
+		newer, ok := m.core.NewerConfiguration(configuration)
+		if ok && !slices.ContainsFunc(records, func(r fleet.Record) bool { return r.Topic == newer.Topic && r.Key == newer.Key }) {
+			records = append(records, newer)
+		}
 		for _, r := range records {
 			state.Records = append(state.Records, &peer.StoreRecord{
 				Topic: int32(r.Topic), Key: r.Key, Offset: r.Position.Offset, Era: r.Position.Era, Value: r.Value, Removed: r.Removed,
@@ -365,6 +377,7 @@
 		mb.received = time.Now()
 		mb.lastSeen, mb.sharing = mb.received, true
 		mb.stopping, mb.fencingToken, mb.unable = state.GetStopping(), state.GetDuty(), state.GetUnable()
+		mb.configuration = state.GetConfiguration()
 		mb.ends[fleet.OperatorTopic] = fleet.Position{Era: state.GetOperatorEra(), Offset: state.GetOperatorEnd()}
 		mb.ends[fleet.TargetTopic] = fleet.Position{Era: state.GetTargetEra(), Offset: state.GetTargetEnd()}
 		if recovered {
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -24,6 +24,8 @@
 func (emptyCore) Running() map[string]int                                 { return nil }
 func (emptyCore) End(fleet.Topic) fleet.Position                          { return fleet.Position{} }
 func (emptyCore) ChangedSince(fleet.Topic, fleet.Position) []fleet.Record { return nil }
+func (emptyCore) ConfigurationVersion() uint64                            { return 0 }
+func (emptyCore) NewerConfiguration(uint64) (fleet.Record, bool)          { return fleet.Record{}, false }
 func (emptyCore) TargetLimitsSince(uint64) ([]admission.TargetLimit, uint64) {
 	return nil, 0
 }
