End the reads in flight when a listing shows that the store was restored

A long poll that the HTTP client repeats on a new connection, at an offset that the restored store has reached again, waited for its whole time (2 s for the operators' topic, 8 s for entries) although other topics had shown the new era, so that changes were in force that much later. The first listing of a later era now ends the reads of all topics, which are then listed again. TestRestoreThatOneTopicShowsEndsReadsOfTheOthers failed without it (in force after 2 s; 1.5 s allowed).

--- a/router/caller/restore_test.go
+++ b/router/caller/restore_test.go
@@ -60,6 +60,19 @@
 	})
 }
 
+// The read of a topic that has as many records as before waits for another one.
+func TestRestoreThatOneTopicShowsEndsReadsOfTheOthers(t *testing.T) {
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": echo})
+	copied := d.store.Copy()
+	d.configure(5, "k5")
+	d.awaitVersion(5)
+	d.store.Restore(copied)
+	d.configure(7, "k7")
+	began := time.Now()
+	d.awaitVersion(7)
+	d.Assert(time.Since(began) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("in force after %s", time.Since(began)))
+}
+
 // served reports whether the first instance serves a request.
 func (d *deployment) served() bool {
 	return d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: "a"}).status == http.StatusOK
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -60,10 +60,15 @@
 
 	mutex       sync.Mutex
 	unavailable bool
+	era         uint64 // The latest era of a listing.
+	// reads holds the cancel functions of the reads in flight, which end when another topic
+	// is found to be restored. A read may otherwise wait for records that are already there.
+	reads map[fleet.Topic]context.CancelCauseFunc
 }
 
 // Run follows all topics until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.reads = make(map[fleet.Topic]context.CancelCauseFunc)
 	var group sync.WaitGroup
 	for _, topic := range []fleet.Topic{fleet.OperatorTopic, fleet.TargetTopic, fleet.EntryTopic} {
 		group.Go(func() { f.follow(ctx, topic) })
@@ -117,6 +122,7 @@
 	if err != nil {
 		return fleet.Position{}, err
 	}
+	f.observeEra(listing.End.Era)
 	events.Log(f.Logger, events.TopicListed, log.Fields{
 		"topic": topic.String(), "era": listing.End.Era, "end": listing.End.Offset, "records": len(listing.Records),
 	})
@@ -139,7 +145,13 @@
 	case fleet.EntryTopic:
 		wait = entryPollTimeout
 	}
-	records, next, err := f.Store.Read(ctx, topic, from, wait)
+	readContext, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	f.withLock(func() { f.reads[topic] = cancel })
+	records, next, err := f.Store.Read(readContext, topic, from, wait)
+	if err != nil && errors.Is(context.Cause(readContext), platform.ErrRestored) {
+		return from, context.Cause(readContext)
+	}
 	if err != nil {
 		return from, err
 	}
@@ -154,6 +166,26 @@
 	return next, nil
 }
 
+// observeEra ends the reads in flight when a listing is of a later era than the ones before.
+func (f *Follower) observeEra(era uint64) {
+	f.withLock(func() {
+		if era <= f.era {
+			return
+		}
+		f.era = era
+		for _, cancel := range f.reads {
+			cancel(platform.ErrRestored.New("era %d", era))
+		}
+	})
+}
+
+// withLock calls a function while the mutex is held.
+func (f *Follower) withLock(change func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change()
+}
+
 // confirm records that the configuration is current after a read of its topic.
 func (f *Follower) confirm(topic fleet.Topic) {
 	if topic == fleet.OperatorTopic {
