Write an instance's own records again that a restored store lacks

An instance registers once, and stores a crash once. After a restore from an older copy, its registration and the crashes that it had reported were gone for good: a new instance would not find it in the store, and a restart of all instances would forget which requests crash targets. After the listing that shows the restore, an instance writes what the listing lacks. What the store holds goes through one channel, since a record read before the restore and the listing after it must be handled in this order.

Crashes whose reporter is gone are known to the others but not stored again.

--- a/router/caller/crashes.go
+++ b/router/caller/crashes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,13 +34,20 @@
 type crashStore struct {
 	// changed requests a comparison of the stored crashes with the known ones.
 	changed chan struct{}
-	// read receives crashes that were read from the store, and that this instance removes
-	// once they are old.
-	read chan fleet.Record
+	// found receives what the store holds, in the order in which it was read.
+	found chan storedCrashes
+}
+
+// storedCrashes holds crashes that were read from the store, and that this instance removes
+// once they are old.
+type storedCrashes struct {
+	records []fleet.Record
+	// complete reports that the store holds no others, as it was restored from a copy.
+	complete bool
 }
 
 func newCrashStore() crashStore {
-	return crashStore{changed: make(chan struct{}, 1), read: make(chan fleet.Record, 1)}
+	return crashStore{changed: make(chan struct{}, 1), found: make(chan storedCrashes, 1)}
 }
 
 // notify requests a comparison without waiting for it.
@@ -67,9 +76,16 @@
 		select {
 		case <-ctx.Done():
 			return
-		case record := <-r.crashes.read:
-			stored[record.Key] = string(record.Value)
-			continue
+		case found := <-r.crashes.found:
+			if !found.complete {
+				for _, record := range found.records {
+					stored[record.Key] = string(record.Value)
+				}
+				continue
+			}
+			maps.DeleteFunc(stored, func(key, _ string) bool {
+				return !slices.ContainsFunc(found.records, func(record fleet.Record) bool { return record.Key == key })
+			})
 		case <-r.crashes.changed:
 			if !wait.Sleep(ctx, crashSettleTime) {
 				return
@@ -150,7 +166,7 @@
 	age := max(0, time.Since(c.At)) // The reporter's clock may be ahead.
 	if c.Reporter == r.options.Instance || age > admission.EvidenceAge {
 		select {
-		case r.crashes.read <- record:
+		case r.crashes.found <- storedCrashes{records: []fleet.Record{record}}:
 		case <-r.lifetime.Done():
 		}
 	}
--- a/router/caller/restore_test.go
+++ b/router/caller/restore_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilswitch.example/platform/platformtest"
+	"chervilswitch.example/shared/fleet"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -134,3 +135,29 @@
 	d.store.PutTarget("i-1", d.replicas["i-1"].Registration("svc", "dc-a", "ready"))
 	d.eventually("a target that registers again is in use", func() bool { return known() == 2 })
 }
+
+func TestOwnRecordsThatRestoreLosesAreWrittenAgain(t *testing.T) {
+	var d *deployment
+	handlers := make(map[string]platformtest.Handler)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		handlers[id] = crashOnPart("bad", func() { d.replicas[id].Close() })
+	}
+	d = deploy(t, 1, handlers)
+	keys := func() (keys []string) {
+		listing, err := d.routers[0].store.List(t.Context(), fleet.EntryTopic)
+		d.Assert(err, qt.IsNil)
+		for _, r := range listing.Records {
+			keys = append(keys, r.Key)
+		}
+		return keys
+	}
+	d.store.Restore(platformtest.StoreCopy{}) // Also of a copy from before the start.
+	d.eventually("the registration is written again", func() bool { return len(keys()) == 1 })
+	copied := d.store.Copy()
+	d.mustCall(platformtest.Call{Path: streamPath, Attempt: "a", Prompt: "bad:9,own:5"})
+	d.eventually("the crash is stored", func() bool { return len(keys()) == 2 })
+	written := keys()
+	d.store.Restore(copied)
+	d.eventually("the crash is written again", func() bool { return len(keys()) == 2 })
+	d.Assert(keys(), qt.DeepEquals, written)
+}
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -157,8 +158,8 @@
 func (r *Router) startTasks(lifetime, serving context.Context, goroutines *sync.WaitGroup) {
 	follower := &store.Follower{
 		Store: r.store, Sink: r.core, Logger: r.logger,
-		OnEntryRecords: r.registerEntries,
-		OnChange:       r.entries.Broadcast, IsStoreReader: r.entries.IsStoreReader,
+		OnEntryRecords: r.registerEntries, OnEntriesRestored: r.rewriteEntryRecords,
+		OnChange: r.entries.Broadcast, IsStoreReader: r.entries.IsStoreReader,
 	}
 	leadership := &planner.Leadership{Instance: r.options.Instance, Store: r.store, Leads: r.entries.Leads, Logger: r.logger}
 	r.entries.Duty, r.entries.Unable = leadership.Token, leadership.StoreUnreachable
@@ -192,6 +193,17 @@
 	}
 }
 
+// rewriteEntryRecords writes this instance's records again that a restored store lacks.
+func (r *Router) rewriteEntryRecords(listed []fleet.Record) {
+	if !slices.ContainsFunc(listed, func(record fleet.Record) bool { return record.Key == r.self.Name }) {
+		go r.publishRegistration(r.lifetime, r.stopping.Load())
+	}
+	select {
+	case r.crashes.found <- storedCrashes{records: listed, complete: true}:
+	case <-r.lifetime.Done():
+	}
+}
+
 // publishRegistration writes this instance's registration to the store. It retries until
 // that succeeds or the context ends.
 func (r *Router) publishRegistration(ctx context.Context, stopping bool) {
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -53,6 +53,9 @@
 	Logger log.Interface
 	// OnEntryRecords is called with the registrations of entry instances.
 	OnEntryRecords func(records []fleet.Record)
+	// OnEntriesRestored is called with a listing of the entry instances' topic after the
+	// store was restored, which may have lost what this instance wrote.
+	OnEntriesRestored func(listed []fleet.Record)
 	// OnChange is called after records that changed anything except a heartbeat.
 	OnChange func()
 	// IsStoreReader reports whether this instance reads the targets' topic for others.
@@ -86,7 +89,7 @@
 		if listed {
 			from, err = f.read(ctx, topic, from)
 		} else {
-			from, err = f.list(ctx, topic)
+			from, err = f.list(ctx, topic, from)
 		}
 		pause := time.Duration(0)
 		switch {
@@ -116,11 +119,12 @@
 	return errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored)
 }
 
-// list lists a topic and returns the position from which to read.
-func (f *Follower) list(ctx context.Context, topic fleet.Topic) (fleet.Position, error) {
+// list lists a topic and returns the position from which to read. The topic was read before
+// up to the given position; it is zero at the start.
+func (f *Follower) list(ctx context.Context, topic fleet.Topic, previous fleet.Position) (fleet.Position, error) {
 	listing, err := f.Store.List(ctx, topic)
 	if err != nil {
-		return fleet.Position{}, err
+		return previous, err
 	}
 	f.observeEra(listing.End.Era)
 	events.Log(f.Logger, events.TopicListed, log.Fields{
@@ -128,6 +132,9 @@
 	})
 	if topic == fleet.EntryTopic {
 		f.OnEntryRecords(listing.Records)
+		if previous != (fleet.Position{}) && previous.Era < listing.End.Era {
+			f.OnEntriesRestored(listing.Records)
+		}
 	} else {
 		f.Sink.ApplyTopicListing(topic, listing)
 	}
