--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -66,6 +66,9 @@
 	// shownLogLines is the number of lines of each router's log that a failure shows.
 	shownLogLines = 4
 	key           = "key"
+	// maxCopies is the number of copies of the store that are kept; one is made before each
+	// fault.
+	maxCopies = 8
 )
 
 // learningCrashes is how many crashes the routers may need to find a cause, by the cause.
@@ -91,6 +94,7 @@
 	proxies    []*proxy
 	replicas   []*platformtest.Replica
 	version    int
+	copies     []platformtest.StoreCopy
 
 	mutex          sync.Mutex
 	attemptCount   int
@@ -111,6 +115,7 @@
 	namedLimit  float64
 	limitedFrom time.Time
 	limitedAt   []time.Time
+	states      map[int]string // The registered state of each replica.
 	faults      []string
 	violations  []string
 }
@@ -130,7 +135,7 @@
 func runSeed(t *testing.T, seed uint64, binary string) {
 	s := &soak{
 		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 11)), binary: binary, folder: t.TempDir(),
-		store: &platformtest.Store{}, runs: make(map[string]int), statuses: make(map[int]int), reportedNotRun: make(map[string]bool), harmfulAt: make(map[string][]time.Time), crashedAt: make(map[string][]time.Time),
+		store: &platformtest.Store{}, runs: make(map[string]int), states: make(map[int]string), statuses: make(map[int]int), reportedNotRun: make(map[string]bool), harmfulAt: make(map[string][]time.Time), crashedAt: make(map[string][]time.Time),
 	}
 	s.startDeployment()
 	defer s.stopDeployment()
@@ -188,8 +193,17 @@
 // publishConfiguration publishes a new version of the configuration.
 func (s *soak) publishConfiguration() {
 	s.version++
+	s.writeConfiguration()
+}
+
+// newestPath is the path of a route that only the newest version of the configuration has.
+func (s *soak) newestPath() string { return fmt.Sprintf("/version-%d/", s.version) }
+
+// writeConfiguration writes the newest version of the configuration.
+func (s *soak) writeConfiguration() {
 	s.store.PutConfiguration(platformtest.Configuration(s.version, []platformtest.Route{
 		{Prefix: "/safe/", Kind: "safe", Service: "svc", Attempts: 2, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond},
+		{Prefix: s.newestPath(), Kind: "safe", Service: "svc", Attempts: 2, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond},
 		{Prefix: "/once/", Kind: "unsafe", Service: "svc", Attempts: 1, Timeout: 2 * time.Second, Objective: 100 * time.Millisecond},
 		{Prefix: "/stream/", Kind: "streaming", Service: "svc", Attempts: 2, Timeout: 4 * time.Second, Objective: 500 * time.Millisecond, Resume: true},
 	}, map[string]string{key: "org"}))
@@ -207,11 +221,25 @@
 
 // register stores the registration of a replica, with the address of its proxy.
 func (s *soak) register(i int, state string) {
+	s.withLock(func() { s.states[i] = state })
 	registration := s.replicas[i].Registration("svc", "dc-a", state)
 	registration["address"] = s.proxies[i].address().String()
 	s.store.PutTarget(s.replicas[i].ID, registration)
 }
 
+// restoreStore restores the store from one of the copies. The operators and the replicas
+// then write again what it has lost.
+func (s *soak) restoreStore() {
+	s.store.Restore(s.copies[s.random.IntN(len(s.copies))])
+	time.Sleep(time.Duration(s.random.IntN(300)) * time.Millisecond)
+	s.writeConfiguration()
+	for i := range s.replicas {
+		var state string
+		s.withLock(func() { state = s.states[i] })
+		s.register(i, state)
+	}
+}
+
 // crash crashes a replica, because of a harmful part or path, and restarts it after restartTime.
 func (s *soak) crash(i int, cause string) {
 	s.withLock(func() { s.harmfulAt[cause] = append(s.harmfulAt[cause], time.Now()) })
@@ -312,8 +340,9 @@
 	// 133 of the first version, all four links were broken or drained at once.
 	i := s.random.IntN(len(s.replicas) / 2)
 	m := mode(s.random.IntN(int(modeCount)))
+	s.copies = append(s.copies[max(0, len(s.copies)-maxCopies+1):], s.store.Copy())
 	name := ""
-	switch s.random.IntN(9) {
+	switch s.random.IntN(10) {
 	case 0:
 		name = "kill " + r.name
 		s.restartRouter(r, syscall.SIGKILL)
@@ -341,6 +370,9 @@
 	case 8:
 		name = "drain " + s.replicas[i].ID
 		s.register(i, "draining")
+	case 9:
+		name = "restore of the store"
+		s.restoreStore()
 	}
 	s.faults = append(s.faults, name)
 }
@@ -355,14 +387,15 @@
 	}
 }
 
-// waitUntilServing waits until each router serves a request. It returns false after
+// waitUntilServing waits until each router serves a request on a route of the newest
+// configuration. It returns false after
 // recoveryTimeout.
 func (s *soak) waitUntilServing() bool {
 	client := &http.Client{Timeout: time.Second}
 	for until := time.Now().Add(recoveryTimeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 		serving := 0
 		for _, r := range s.routers {
-			if s.sendRequest(client, r.address("callers"), "/safe/", s.newAttempt()) == http.StatusOK {
+			if s.sendRequest(client, r.address("callers"), s.newestPath(), s.newAttempt()) == http.StatusOK {
 				serving++
 			}
 		}
