--- a/shared/control/docs_test.go
+++ b/shared/control/docs_test.go
@@ -23,7 +23,7 @@
 		line := strings.ReplaceAll(row[3], `\|`, "|")
 		c.Check(strings.Contains(string(code), line), qt.IsTrue, qt.Commentf("%s does not contain %s", row[2], line))
 	}
-	for _, model := range []string{"ranks", "once", "config", "switch"} {
+	for _, model := range []string{"ranks", "once", "config", "switch", "restore"} {
 		text, err := os.ReadFile("../../model/" + model + ".pml")
 		c.Assert(err, qt.IsNil)
 		for _, mutant := range regexp.MustCompile(`MUTANT_\w+`).FindAllString(string(text), -1) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -365,8 +365,10 @@
 		name = fmt.Sprintf("link to %s %d", s.replicas[i].ID, m)
 		s.proxies[i].setMode(m)
 	case 7:
-		name = "new configuration"
-		s.publishConfiguration()
+		name = "new configurations"
+		for range 1 + s.random.IntN(4) {
+			s.publishConfiguration()
+		}
 	case 8:
 		name = "drain " + s.replicas[i].ID
 		s.register(i, "draining")
@@ -377,10 +379,17 @@
 	s.faults = append(s.faults, name)
 }
 
-// clearFaults ends all faults of the store, the links and the replicas.
+// clearFaults ends all faults of the store, the links and the replicas. The store loses two
+// versions of the configuration at last, so that the offset of the next one was used before.
 func (s *soak) clearFaults() {
 	s.store.SetFault(platformtest.NoFault)
 	s.storeProxy.setMode(modePass)
+	s.copies = []platformtest.StoreCopy{s.store.Copy()}
+	s.publishConfiguration()
+	s.publishConfiguration()
+	time.Sleep(learningTime)
+	s.restoreStore()
+	s.publishConfiguration()
 	for i := range s.replicas {
 		s.proxies[i].setMode(modePass)
 		s.register(i, "ready")
