--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -36,6 +36,9 @@
 	begun bool
 	// rateLimit is the rate limit that the response names; see platform.TargetHeaders.
 	rateLimit float64
+	// pause and leaving are what the response says of the target; see platform.TargetHeaders.
+	pause   time.Duration
+	leaving bool
 	// timer expires at the attempt timeout; nil if only the request's deadline applies.
 	timer *time.Timer
 }
@@ -60,6 +63,7 @@
 	}
 	defer response.Body.Close()
 	a.begun, a.rateLimit = true, response.Headers.RateLimit
+	a.pause, a.leaving = response.Headers.Pause, response.Headers.Leaving
 	a.reportLimit(response)
 	switch {
 	case response.Headers.NotRun:
@@ -246,7 +250,7 @@
 func (a *attempt) reportOutcome(outcome admission.Outcome, cause error) {
 	fields := log.Fields{
 		"service": a.service, "target": a.target.ID, "outcome": outcome.String(), "begun": a.begun,
-		"took": time.Since(a.began).String(), "rateLimit": a.rateLimit, "first": a.timeToFirst.String(), "lastEvent": a.lastEvent,
+		"took": time.Since(a.began).String(), "rateLimit": a.rateLimit, "pause": a.pause.String(), "leaving": a.leaving, "first": a.timeToFirst.String(), "lastEvent": a.lastEvent,
 	}
 	if cause != nil {
 		fields["error"] = cause.Error()
