Send a target nothing while the pause lasts that it asks for

Callers got 503 for want of retry budget while nine of twelve targets would have served: three targets answered 503 with Retry-After, nobody read it, and as they ran nothing they looked best to the next request, and to its retries.

The pause is a notice of the target, by incarnation, in the reducer: the instance that was asked sends nothing until its end, however long, and then one request each 100 ms until one is answered. The other instances hear of it and prefer other targets meanwhile, as each of them would be rejected itself; they may still use it, since the target asked only one. If all targets of a service pause, requests, waiting ones included, are refused at once with the time until the first pause ends, and reason paused.

--- a/operate/desk/explain.go
+++ b/operate/desk/explain.go
@@ -72,6 +72,7 @@
 	"noRouteStale":    {events.DependencyLost},
 	"unknownKeyStale": {events.DependencyLost},
 	"rateLimited":     {events.TargetLimitChanged, events.EntriesChanged},
+	"paused":          {events.TargetNoticed},
 }
 
 // sharingState is the state of an EntriesChanged line about how many instances share limits.
--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -64,7 +64,7 @@
 	defer response.Body.Close()
 	a.begun, a.rateLimit = true, response.Headers.RateLimit
 	a.pause, a.leaving = response.Headers.Pause, response.Headers.Leaving
-	a.reportLimit(response)
+	a.reportHead(response)
 	switch {
 	case response.Headers.NotRun:
 		return a.handleNotRun(ctx, response)
@@ -79,15 +79,22 @@
 	}
 }
 
-// reportLimit reports the limit that the target's response names. Responses that the
-// target may have sent without consulting its service do not end a limit.
-func (a *attempt) reportLimit(response *target.Response) {
-	if a.rateLimit == 0 && (response.Headers.NotRun || !response.Headers.Signed) || response.StatusCode == http.StatusMisdirectedRequest {
+// reportHead reports the limit that the target's response names, and which requests the
+// target wants. Responses that the target may have sent without consulting its service do
+// not end a limit, and those of another target at its address say nothing.
+func (a *attempt) reportHead(response *target.Response) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	a.router.core.HandleEvent(admission.ResponseHead{Limit: admission.TargetLimit{
-		Target: a.target.ID, Incarnation: a.target.Incarnation, PerSecond: a.rateLimit, At: time.Now(),
-	}})
+	now := time.Now()
+	head := admission.ResponseHead{Notice: admission.TargetNotice{Target: a.target.ID, Incarnation: a.target.Incarnation}}
+	if a.pause > 0 {
+		head.Notice.PausedUntil = now.Add(a.pause)
+	}
+	if a.rateLimit > 0 || response.Headers.Signed && !response.Headers.NotRun {
+		head.Limit = admission.TargetLimit{Target: a.target.ID, Incarnation: a.target.Incarnation, PerSecond: a.rateLimit, At: now}
+	}
+	a.router.core.HandleEvent(head)
 }
 
 // handleNotRun handles a response that states that the request has not run: another
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -179,6 +179,9 @@
 				c.options.QuarantineChanged(d)
 			}
 			continue
+		case admission.TargetNoticed:
+			c.logNotice(now, d)
+			continue
 		case admission.TargetLimitChanged:
 			c.logTargetLimit(now, d)
 			if d.Peer == "" && c.options.TargetLimitChanged != nil {
@@ -207,6 +210,21 @@
 	})
 }
 
+func (c *Core) logNotice(now time.Time, n admission.TargetNoticed) {
+	events.Log(c.options.Logger, events.TargetNoticed, log.Fields{
+		"target": n.Notice.Target, "incarnation": n.Notice.Incarnation, "pause": max(0, n.Notice.PausedUntil.Sub(now)).String(),
+		"leaving": n.Notice.Leaving, "source": cmp.Or(n.Peer, "response"),
+	})
+}
+
+// TargetNoticesSince returns what targets have asked of this instance after a version, and
+// the current version; see admission.State.TargetNoticesSince.
+func (c *Core) TargetNoticesSince(version uint64) ([]admission.TargetNotice, uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.admission.TargetNoticesSince(version)
+}
+
 // TargetLimitsSince returns the limits of targets that have changed after a version, and
 // the current version; see admission.State.TargetLimitsSince.
 func (c *Core) TargetLimitsSince(version uint64) ([]admission.TargetLimit, uint64) {
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -52,6 +52,9 @@
 	// TargetLimitsSince returns the limits of targets that have changed after a version,
 	// and the current version.
 	TargetLimitsSince(version uint64) ([]admission.TargetLimit, uint64)
+	// TargetNoticesSince returns what targets have asked of this instance after a version,
+	// and the current version.
+	TargetNoticesSince(version uint64) ([]admission.TargetNotice, uint64)
 }
 
 // Membership tracks the known entry instances and exchanges state with them.
@@ -88,6 +91,7 @@
 	configuration uint64                         // The version of the configuration that it uses.
 	evidence      uint64                         // The version of the crash evidence sent over the link.
 	limits        uint64                         // The version of the targets' limits sent over the link.
+	notices       uint64                         // The version of the notices sent over the link.
 	sharing       bool                           // It shares limits with this instance; see sharingInstances.
 	cancel        context.CancelFunc             // Closes the link to it.
 	wake          chan struct{}                  // Requests a state message at once.
@@ -180,7 +184,7 @@
 		return // Watch reports an unreachable instance after livenessTimeout.
 	}
 	defer link.Close()
-	mb.evidence, mb.limits = 0, 0 // What was sent over an earlier link may be lost.
+	mb.evidence, mb.limits, mb.notices = 0, 0, 0 // What was sent over an earlier link may be lost.
 	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Entry{Entry: m.stateFor(mb)}})
 	if err != nil {
 		return
@@ -223,6 +227,7 @@
 	}
 	m.addCrashEvidence(state, mb)
 	m.addTargetLimits(state, mb)
+	m.addTargetNotices(state, mb)
 	if received {
 		records := append(m.core.ChangedSince(fleet.OperatorTopic, operatorEnd), m.core.ChangedSince(fleet.TargetTopic, targetEnd)...)
 		// A restore may have lost a configuration that the instance has never read.
@@ -307,6 +312,35 @@
 	m.core.HandleEvent(event)
 }
 
+// addTargetNotices adds what targets have asked of this instance, as far as it is new to
+// another instance, to a state message for it.
+func (m *Membership) addTargetNotices(state *peer.EntryUpdate, mb *member) {
+	var notices []admission.TargetNotice
+	notices, mb.notices = m.core.TargetNoticesSince(mb.notices)
+	now := time.Now()
+	for _, n := range notices {
+		state.Notices = append(state.Notices, &peer.TargetNotice{
+			Target: n.Target, Incarnation: n.Incarnation, PausedMs: max(0, n.PausedUntil.Sub(now)).Milliseconds(), Leaving: n.Leaving,
+		})
+	}
+}
+
+// applyTargetNotices applies what targets have asked of another instance.
+func (m *Membership) applyTargetNotices(state *peer.EntryUpdate) {
+	if len(state.GetNotices()) == 0 {
+		return
+	}
+	now := time.Now()
+	event := admission.PeerNotices{Peer: state.GetInstance()}
+	for _, n := range state.GetNotices() {
+		event.Notices = append(event.Notices, admission.TargetNotice{
+			Target: n.GetTarget(), Incarnation: n.GetIncarnation(), Leaving: n.GetLeaving(),
+			PausedUntil: now.Add(time.Duration(n.GetPausedMs()) * time.Millisecond),
+		})
+	}
+	m.core.HandleEvent(event)
+}
+
 // Serve applies the state messages of one instance until its link ends.
 func (m *Membership) Serve(ctx context.Context, first *peer.EntryUpdate, stream *peer.Stream) {
 	state := first
@@ -404,6 +438,7 @@
 	}
 	m.applyCrashEvidence(state)
 	m.applyTargetLimits(state)
+	m.applyTargetNotices(state)
 	m.core.HandleEvent(admission.GroupReport{Instance: state.GetInstance(), Closed: state.GetClosed(), Paces: state.GetPaces()})
 	m.core.HandleEvent(admission.PeerLoad{Peer: state.GetInstance(), Running: running})
 }
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -29,6 +29,7 @@
 func (emptyCore) TargetLimitsSince(uint64) ([]admission.TargetLimit, uint64) {
 	return nil, 0
 }
+func (emptyCore) TargetNoticesSince(uint64) ([]admission.TargetNotice, uint64) { return nil, 0 }
 func (emptyCore) CrashEvidence(uint64) (admission.CrashEvidence, uint64) {
 	return admission.CrashEvidence{}, 0
 }
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -194,7 +194,7 @@
 	RetryAfter time.Duration
 	Reason     Reason
 	// Queued is the number of waiting requests. ExpectedWait is the estimated wait if
-	// the reason is QueueFull, and the actual wait if it is WaitedTooLong.
+	// the reason is QueueFull, RateLimited or Paused, and the actual wait if it is WaitedTooLong.
 	Queued       int
 	ExpectedWait time.Duration
 }
@@ -221,11 +221,13 @@
 	Quarantined
 	// RateLimited means that the rates of all targets are used up for too long.
 	RateLimited
+	// Paused means that all targets have asked for a pause that lasts too long.
+	Paused
 )
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
-	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed", "quarantined", "rateLimited"}[r]
+	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed", "quarantined", "rateLimited", "paused"}[r]
 }
 
 func (Dispatch) effect() {}
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -198,11 +198,11 @@
 			continue // Retries avoid excluded ranks as well.
 		}
 		limit += extra
-		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || st.rateWait(at, s, t, index) > 0 {
+		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || t.notice.wait(at) > 0 || st.rateWait(at, s, t, index) > 0 {
 			continue
 		}
 		// Free capacity is compared, because limits differ between groups.
-		score := float64(running) - float64(limit) + failurePenalty*t.failures + s.latencyPenalty(t)
+		score := float64(running) - float64(limit) + failurePenalty*t.failures + s.latencyPenalty(t) + t.notice.penalty(at, len(e.tried) > 0)
 		if t.DataCentre != st.dataCentre {
 			score += localPreference
 		}
@@ -213,6 +213,9 @@
 	if best != nil {
 		s.searchOffset++
 		best.takeTokens()
+		if best.notice != nil && best.notice.onTrial {
+			best.backOff(at, trialInterval)
+		}
 	}
 	return best, bestRunning
 }
@@ -231,29 +234,42 @@
 	return time.Duration(ahead+1) * s.finishInterval
 }
 
-// serviceRateWait returns how long the rates of all targets keep a request waiting behind a
-// number of others: 0 if some target that this instance may use has a token.
-func (st *State) serviceRateWait(at time.Time, s *service, ahead int) time.Duration {
-	first, perSecond := noToken, 0.0
+// serviceWait returns how long the rates and the notices of all targets but those that were
+// tried keep a request waiting behind a number of others, and the reason: RateLimited,
+// Paused, or NoTarget if all are leaving. It is 0 if some target that this instance may use
+// takes a request now.
+func (st *State) serviceWait(at time.Time, s *service, tried []string, ahead int) (time.Duration, Reason) {
+	first, perSecond, reason := noToken, 0.0, RateLimited
 	limits := s.limits()
+	leaving := len(s.targetIDs) > 0
 	for i, id := range s.targetIDs {
 		t := s.targets[id]
-		if limits(t) == 0 || st.isClosed(at, s, t.Group) {
+		leaving = leaving && t.notice != nil && t.notice.Leaving
+		if limits(t) == 0 || st.isClosed(at, s, t.Group) || slices.Contains(tried, id) {
 			continue
 		}
-		wait := st.rateWait(at, s, t, i)
+		rate, pause := st.rateWait(at, s, t, i), t.notice.wait(at)
+		wait := max(rate, pause)
 		if wait == 0 {
-			return 0
+			return 0, reason
 		}
 		if wait < noToken {
-			first = min(first, wait)
+			if wait < first {
+				first, reason = wait, RateLimited
+				if pause >= rate {
+					reason = Paused
+				}
+			}
 			perSecond += t.lowestRate()
 		}
 	}
+	if leaving {
+		return first, NoTarget
+	}
 	if first == noToken || ahead == 0 {
-		return first
+		return first, reason
 	}
-	return first + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+	return first + time.Duration(float64(ahead)/perSecond*float64(time.Second)), reason
 }
 
 // recordFinish updates the interval between finished requests while others wait.
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -46,6 +46,7 @@
 	retryBudget  RetryBudget
 	entries      entrySet
 	limits       targetLimits
+	notices      targetNotices
 	services     map[string]*service
 	requests     map[RequestID]*activeRequest
 	peerLoads    peerLoads
@@ -58,7 +59,7 @@
 func New(instance, dataCentre string, retryBudget RetryBudget) *State {
 	return &State{
 		quarantine: quarantine{instance: instance},
-		dataCentre: dataCentre, retryBudget: retryBudget, entries: newEntrySet(instance), limits: newTargetLimits(),
+		dataCentre: dataCentre, retryBudget: retryBudget, entries: newEntrySet(instance), limits: newTargetLimits(), notices: newTargetNotices(),
 		services: make(map[string]*service), requests: make(map[RequestID]*activeRequest), peerLoads: newPeerLoads(),
 		groupReports: make(map[string]GroupReport), closedGroups: make(map[string]bool),
 	}
@@ -80,6 +81,9 @@
 	case ServiceTargets:
 		s := st.service(e.Service.Name)
 		s.update(e)
+		for _, t := range s.targets {
+			t.notice = st.notices.of(t)
+		}
 		s.setPaces(st.pace)
 		st.updateShares(at, s)
 		return st.dispatchWaiting(at, s)
@@ -90,7 +94,16 @@
 		}
 		return nil
 	case ResponseHead:
-		return st.applyLimits(at, "", e.Limit)
+		var effects []Effect
+		if e.Limit.Target != "" {
+			effects = st.applyLimits(at, "", e.Limit)
+		}
+		if e.Notice.Target != "" {
+			effects = append(effects, st.applyNotices(at, "", e.Notice)...)
+		}
+		return effects
+	case PeerNotices:
+		return st.applyNotices(at, e.Peer, e.Notices...)
 	case PeerLimits:
 		return st.applyLimits(at, e.Peer, e.Limits...)
 	case PeerLoad:
@@ -204,8 +217,8 @@
 		}
 	}
 	allowedWait := s.allowedWait(r)
-	if wait := st.serviceRateWait(at, s, ahead); wait > allowedWait {
-		return []Effect{Refuse{ID: r.ID, RetryAfter: retryAfter(wait), Reason: RateLimited, Queued: s.waiting.length, ExpectedWait: wait}}
+	if wait, reason := st.serviceWait(at, s, nil, ahead); wait > allowedWait {
+		return []Effect{Refuse{ID: r.ID, RetryAfter: unavailableRetryAfter(wait, reason), Reason: reason, Queued: s.waiting.length, ExpectedWait: wait}}
 	}
 	expected := s.expectedWait(ahead)
 	if expected > allowedWait {
@@ -337,6 +350,10 @@
 		if d, ok := st.dispatch(at, s, e); ok {
 			return append([]Effect{d}, st.dispatchWaiting(at, s)...)
 		}
+		if wait, reason := st.serviceWait(at, s, e.tried, 0); reason == Paused && wait > minWait && !r.ResponseStarted && !e.moving {
+			refuse.Reason, refuse.RetryAfter, refuse.ExpectedWait = Paused, unavailableRetryAfter(wait, Paused), wait
+			break
+		}
 		e.queuedSince, e.refuseAt = at, at.Add(minWait)
 		e.responseStarted = r.ResponseStarted || e.moving
 		if e.responseStarted {
@@ -473,6 +490,7 @@
 func (st *State) tick(at time.Time) []Effect {
 	st.quarantine.forget(at)
 	st.limits.forget(at, st.hasTarget)
+	st.notices.forget(at, st.hasTarget)
 	effects := st.dispatchAllWaiting(at)
 	for _, name := range slices.Sorted(maps.Keys(st.services)) {
 		s := st.services[name]
--- a/shared/admission/target.go
+++ b/shared/admission/target.go
@@ -37,6 +37,8 @@
 	timeToFirstOutput  time.Duration
 	connectionFailures int       // Since the last success.
 	backoffUntil       time.Time // No requests are sent before this time.
+	// notice holds what the target's responses say about the requests that it wants.
+	notice *knownNotice
 	// coldRate and namedRate are the shares of the service's cold rate and of the limit
 	// that the target names.
 	coldRate, namedRate rateShare
--- a/shared/admission/targetlimit.go
+++ b/shared/admission/targetlimit.go
@@ -20,8 +20,15 @@
 	At        time.Time // When the response arrived.
 }
 
-// ResponseHead reports the limit that the head of a response names.
-type ResponseHead struct{ Limit TargetLimit }
+// ResponseHead reports what the head of a response says about its target.
+type ResponseHead struct {
+	// Limit is the limit that the response names; without a target if it says nothing
+	// about limits.
+	Limit TargetLimit
+	// Notice is without a target if the response says nothing about the requests that the
+	// target wants.
+	Notice TargetNotice
+}
 
 // PeerLimits reports the limits that another entry instance knows.
 type PeerLimits struct {
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -48,6 +48,7 @@
 	LimitsSummary      Event = 2015
 	QuarantineChanged  Event = 2016
 	TargetLimitChanged Event = 2017
+	TargetNoticed      Event = 2018
 	DutyTaken          Event = 2203
 	DutyLeft           Event = 2204
 	SwitchPlanned      Event = 2205
@@ -97,6 +98,7 @@
 	LimitsSummary:      "limitsSummary",
 	QuarantineChanged:  "quarantineChanged",
 	TargetLimitChanged: "targetLimitChanged",
+	TargetNoticed:      "targetNoticed",
 	DutyTaken:          "dutyTaken",
 	DutyLeft:           "dutyLeft",
 	SwitchPlanned:      "switchPlanned",
