Send a target nothing more once a response says that it leaves

A leaving target says so in all its responses, and goes on serving for a short while. Nobody read it, so requests went on until the store showed the target as draining, and for good to a target whose registration only lapses. The notice that a response gives now ends new requests at all instances, until the target has another incarnation, also if its registration disappears and returns.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -87,7 +87,7 @@
 		return
 	}
 	now := time.Now()
-	head := admission.ResponseHead{Notice: admission.TargetNotice{Target: a.target.ID, Incarnation: a.target.Incarnation}}
+	head := admission.ResponseHead{Notice: admission.TargetNotice{Target: a.target.ID, Incarnation: a.target.Incarnation, Leaving: a.leaving}}
 	if a.pause > 0 {
 		head.Notice.PausedUntil = now.Add(a.pause)
 	}
--- a/router/caller/notice_test.go
+++ b/router/caller/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,3 +41,24 @@
 	d.Assert(time.Since(began) < 100*time.Millisecond, qt.IsTrue)
 	d.Assert(d.runs(), qt.HasLen, 2)
 }
+
+func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	var leaving atomic.Bool
+	d := deploy(t, 2, map[string]platformtest.Handler{
+		"i-1": func(w *platformtest.ResponseWriter, r platformtest.Run) {
+			if leaving.Load() {
+				w.WriteResponse(http.StatusOK, "echo "+r.Attempt, platformtest.Leaving())
+				return
+			}
+			echo(w, r)
+		},
+		"i-2": echo,
+	})
+	d.awaitMembership()
+	leaving.Store(true)
+	d.Assert(d.sendPaced("a", 10*time.Millisecond, 300*time.Millisecond), qt.Equals, 0)
+	time.Sleep(500 * time.Millisecond) // Until the other instance has heard of it.
+	before := len(d.replicas["i-1"].Runs())
+	d.Assert(d.sendPaced("b", 10*time.Millisecond, 500*time.Millisecond), qt.Equals, 0)
+	d.Assert(d.replicas["i-1"].Runs(), qt.HasLen, before)
+}
