--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,10 +32,15 @@
 )
 
 const (
-	instances    = 3
-	replicas     = 4
-	callers      = 12
-	streamEvents = 5
+	instances = 3
+	replicas  = 6
+	// The links of the first faultyReplicas replicas fail. Others ask for pauses, and say
+	// that they leave.
+	faultyReplicas = 2
+	pausingReplica = 3
+	leavingReplica = 4
+	callers        = 12
+	streamEvents   = 5
 	// recoveryTimeout is the time after the last fault within which all routers must
 	// serve requests.
 	recoveryTimeout = 12 * time.Second
@@ -63,6 +68,14 @@
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
+	// A router may send pausedRequests requests to a replica that has rejected one and asked
+	// for a pause of pauseTime, not counting those in the first pauseSlack.
+	pauseTime      = time.Second
+	pauseSlack     = 500 * time.Millisecond
+	pausedRequests = 2
+	// leavingTime is how long a router may send requests to a replica that has told it in a
+	// response that it leaves.
+	leavingTime = 2 * time.Second
 	// shownLogLines is the number of lines of each router's log that a failure shows.
 	shownLogLines = 4
 	key           = "key"
@@ -116,8 +129,15 @@
 	limitedFrom time.Time
 	limitedAt   []time.Time
 	states      map[int]string // The registered state of each replica.
-	faults      []string
-	violations  []string
+	// pausing and leaving report what the responses of two replicas say. pausedAt, pausedCount
+	// and leavingAt hold when a router was first told, and what it sent in the pause; a fault
+	// of the router ends that.
+	pausing, leaving    bool
+	entries             map[string]netip.AddrPort // The routers of attempts, by their address.
+	pausedAt, leavingAt map[netip.AddrPort]time.Time
+	pausedCount         map[netip.AddrPort]int
+	faults              []string
+	violations          []string
 }
 
 func TestSoak(t *testing.T) {
@@ -135,7 +155,7 @@
 func runSeed(t *testing.T, seed uint64, binary string) {
 	s := &soak{
 		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 11)), binary: binary, folder: t.TempDir(),
-		store: &platformtest.Store{}, runs: make(map[string]int), states: make(map[int]string), statuses: make(map[int]int), reportedNotRun: make(map[string]bool), harmfulAt: make(map[string][]time.Time), crashedAt: make(map[string][]time.Time),
+		store: &platformtest.Store{}, runs: make(map[string]int), states: make(map[int]string), entries: make(map[string]netip.AddrPort), pausedAt: make(map[netip.AddrPort]time.Time), leavingAt: make(map[netip.AddrPort]time.Time), pausedCount: make(map[netip.AddrPort]int), statuses: make(map[int]int), reportedNotRun: make(map[string]bool), harmfulAt: make(map[string][]time.Time), crashedAt: make(map[string][]time.Time),
 	}
 	s.startDeployment()
 	defer s.stopDeployment()
@@ -246,7 +266,13 @@
 	if !s.replicas[i].Crash() {
 		return
 	}
-	s.withLock(func() { s.crashedAt[cause] = append(s.crashedAt[cause], time.Now()) })
+	s.withLock(func() {
+		s.crashedAt[cause] = append(s.crashedAt[cause], time.Now())
+		if i == pausingReplica || i == leavingReplica { // The next start asks anew.
+			clear(s.pausedAt)
+			clear(s.leavingAt)
+		}
+	})
 	time.AfterFunc(restartTime, func() {
 		s.replicas[i].Restart()
 		s.register(i, "ready")
@@ -256,7 +282,7 @@
 // serveReplica handles a request at a replica: it records the execution and responds.
 func (s *soak) serveReplica(i int, w *platformtest.ResponseWriter, r platformtest.Run) {
 	s.mutex.Lock()
-	if strings.HasPrefix(r.URI, "/once/") {
+	if strings.HasPrefix(r.URI, "/once/") && !(i == pausingReplica && s.pausing) {
 		s.runs[r.Attempt]++
 	}
 	var headers []string
@@ -264,7 +290,20 @@
 		headers = []string{platformtest.RateLimit(s.limit)}
 		s.limitedAt = append(s.limitedAt, time.Now())
 	}
+	pause, leaving := i == pausingReplica && s.pausing, i == leavingReplica && s.leaving
+	entry := s.entries[r.Attempt]
+	if pause {
+		s.checkPause(entry, time.Now())
+	}
+	if leaving {
+		s.checkLeaving(entry, time.Now())
+		headers = append(headers, platformtest.Leaving())
+	}
 	s.mutex.Unlock()
+	if pause {
+		w.RejectNotExecuted(append(headers, platformtest.Pause(fmt.Sprint(pauseTime.Seconds())))...)
+		return
+	}
 	if r.URI == harmfulPath {
 		time.Sleep(harmfulRunTime)
 		s.crash(i, harmfulPath)
@@ -291,6 +330,41 @@
 	w.EndStream()
 }
 
+// checkPause checks a request of a router to the replica that pauses. The caller holds the
+// mutex.
+func (s *soak) checkPause(entry netip.AddrPort, now time.Time) {
+	asked, ok := s.pausedAt[entry]
+	switch {
+	case !ok || now.After(asked.Add(pauseTime)):
+		s.pausedAt[entry], s.pausedCount[entry] = now, 0
+	case now.After(asked.Add(pauseSlack)):
+		if s.pausedCount[entry]++; s.pausedCount[entry] == pausedRequests+1 {
+			s.violations = append(s.violations, fmt.Sprintf("%s sent %d requests to a replica in its pause, %s after it was asked", entry, pausedRequests+1, now.Sub(asked)))
+		}
+	}
+}
+
+// checkLeaving checks a request of a router to the replica that leaves. The caller holds the
+// mutex.
+func (s *soak) checkLeaving(entry netip.AddrPort, now time.Time) {
+	told, ok := s.leavingAt[entry]
+	if !ok {
+		s.leavingAt[entry] = now
+		return
+	}
+	if now.Sub(told) > leavingTime {
+		s.violations = append(s.violations, fmt.Sprintf("%s sent a request to a replica that leaves, %s after it was told", entry, now.Sub(told)))
+	}
+}
+
+// forget excuses what a router knew before a fault.
+func (s *soak) forget(r *router) {
+	s.withLock(func() {
+		delete(s.pausedAt, r.address("callers"))
+		delete(s.leavingAt, r.address("callers"))
+	})
+}
+
 func (s *soak) addRouter(name string) {
 	r := &router{name: name, settingsFile: filepath.Join(s.folder, name+".json"), settings: map[string]any{
 		"instance": name, "dataCentre": "dc-a", "region": "here", "store": s.storeProxy.address().String(),
@@ -326,6 +400,7 @@
 func (s *soak) restartRouter(r *router, signal syscall.Signal) {
 	_ = r.command.Process.Signal(signal)
 	_ = r.command.Wait() // A killed process ends with an error.
+	s.forget(r)
 	s.startRouter(r)
 }
 
@@ -336,13 +411,13 @@
 // injectFault injects or clears one random fault.
 func (s *soak) injectFault() {
 	r := s.routers[s.random.IntN(len(s.routers))]
-	// Faults affect only half of the replicas, so that requests can be served. At seed
+	// Faults affect only some of the replicas, so that requests can be served. At seed
 	// 133 of the first version, all four links were broken or drained at once.
-	i := s.random.IntN(len(s.replicas) / 2)
+	i := s.random.IntN(faultyReplicas)
 	m := mode(s.random.IntN(int(modeCount)))
 	s.copies = append(s.copies[max(0, len(s.copies)-maxCopies+1):], s.store.Copy())
 	name := ""
-	switch s.random.IntN(10) {
+	switch s.random.IntN(12) {
 	case 0:
 		name = "kill " + r.name
 		s.restartRouter(r, syscall.SIGKILL)
@@ -354,6 +429,7 @@
 		_ = r.command.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(time.Duration(s.random.IntN(1500)) * time.Millisecond)
 		_ = r.command.Process.Signal(syscall.SIGCONT)
+		s.forget(r)
 	case 3:
 		storeFault := platformtest.StoreFault(s.random.IntN(3))
 		name = fmt.Sprintf("store fault %d", storeFault)
@@ -375,6 +451,12 @@
 	case 9:
 		name = "restore of the store"
 		s.restoreStore()
+	case 10:
+		name = "pauses of " + s.replicas[pausingReplica].ID
+		s.withLock(func() { s.pausing = !s.pausing })
+	case 11:
+		name = s.replicas[leavingReplica].ID + " leaves"
+		s.withLock(func() { s.leaving = true })
 	}
 	s.faults = append(s.faults, name)
 }
@@ -384,6 +466,7 @@
 func (s *soak) clearFaults() {
 	s.store.SetFault(platformtest.NoFault)
 	s.storeProxy.setMode(modePass)
+	s.withLock(func() { s.pausing = false })
 	s.copies = []platformtest.StoreCopy{s.store.Copy()}
 	s.publishConfiguration()
 	s.publishConfiguration()
@@ -450,7 +533,10 @@
 	})
 	request, err := platformtest.Call{Method: http.MethodPost, Path: path, Attempt: attempt, Key: key, Left: 2 * time.Second, Prompt: prompt}.Request(context.Background(), entry)
 	s.Check(err, qt.IsNil)
-	s.withLock(func() { s.sent++ })
+	s.withLock(func() {
+		s.sent++
+		s.entries[attempt] = entry
+	})
 	response, err := client.Do(request)
 	if err != nil {
 		s.withLock(func() { s.statuses[0]++ })
