Refuse up to three requests that a crashed rank had begun, not only a single one

A request costs its caller one answer when it is refused for a minute, and the second outage costs some two hundred, so up to three that had begun are refused together, ranks only. TestFewRequestsThatARankHasBegunAreRefusedTogether failed before.

--- a/shared/admission/identity_test.go
+++ b/shared/admission/identity_test.go
@@ -250,3 +250,28 @@
 	c.Assert(q.applyEvidence(at.Add(time.Minute), newer), qt.HasLen, 1)
 	c.Assert(q.version, qt.Equals, version+1)
 }
+
+// A rank may have begun the harmful request and a few others. If they were sent again, the
+// next crash would stop the whole group once more.
+func TestFewRequestsThatARankHasBegunAreRefusedTogether(t *testing.T) {
+	for begun := 2; begun <= maxRankSuspects+1; begun++ {
+		p := newPrompts(t, "entry-a")
+		p.reduce(ServiceTargets{Service: fleet.Service{Name: testService}, Targets: []fleet.Target{
+			{ID: "t00", Service: testService, Slots: 100, Incarnation: 1, Group: "g"}, {ID: "t01", Service: testService, Slots: 100, Incarnation: 1, Group: "g"},
+		}})
+		var ids []RequestID
+		for i := range uint64(begun) {
+			id, refused := p.submitSame(testDigest + i)
+			p.Assert(refused, qt.IsNil)
+			ids = append(ids, id)
+		}
+		for _, id := range ids {
+			p.reduce(AttemptResult{ID: id, Service: testService, Target: "t00", Incarnation: 1, Outcome: Broken, Lost: true, Begun: true})
+			p.reduce(Finish{ID: id})
+		}
+		for i := range uint64(begun) {
+			p.Assert(p.refuses(testDigest+i), qt.Equals, begun <= maxRankSuspects, qt.Commentf("%d requests had begun", begun))
+		}
+		p.Assert(p.refuses(testDigest+uint64(begun)), qt.IsFalse)
+	}
+}
--- a/shared/admission/quarantine.go
+++ b/shared/admission/quarantine.go
@@ -20,6 +20,9 @@
 	// certainCrashes is the number of crashes that convict a request, whatever else was
 	// lost in them.
 	certainCrashes = 3
+	// maxRankSuspects is the number of requests that are convicted together by the crash of a
+	// rank, if they alone had begun. It stops the requests of its whole group for seconds.
+	maxRankSuspects = 3
 	// reporterLead is how much earlier the reporter of a crash tries a part again than
 	// the other instances.
 	reporterLead = 10 * time.Second
@@ -260,8 +263,8 @@
 // identityHold returns how long after the last of its crashes a request is refused: 0 if
 // it is sent again, but not together with the requests in apart. Requests that run on a
 // target when another one crashes it are lost as well. So a request is convicted by two
-// crashes that only it explains. One is enough if the target was a rank and only this
-// response had begun, since the next crash would stop a whole group again.
+// crashes that only it explains. One is enough if the target was a rank and few responses
+// had begun, this one among them, since the next crash would stop a whole group again.
 func (q *quarantine) identityHold(identity string, crashes []*CrashReport) (hold time.Duration, apart []string) {
 	switch {
 	case len(crashes) == 0:
@@ -275,9 +278,8 @@
 		return EvidenceAge, nil
 	}
 	others := q.lostTogether(identity, crashes)
-	alone := len(others) == 0
-	if alone && (len(crashes) == certainCrashes-1 || crashes[0].Rank && len(crashes[0].Begun) > 0) {
-		return baseHold, []string{identity}
+	if len(others) == 0 && len(crashes) == certainCrashes-1 || crashes[0].Rank && len(crashes[0].Begun) > 0 && len(others) < maxRankSuspects {
+		return baseHold, append(others, identity)
 	}
 	if len(crashes) == 1 {
 		others = nil // Most of them are sound.
