--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	go test -count=1 -skip '^($(KNOWN_RED))$$' $(PACKAGES)
 
 # Names of the platform's protocol, which only the adapter in platform/ may use.
-WIRE_NAMES := Attempt-Id|Request-Deadline|Expected-Instance|Server-Signature|Server-Limit|Not-Executed|At-Server|Prompt-Prefix|/api/(report|order|picked|readiness|resolution|log-)|apiKeys|targetLatencyMs|coldRemainingMs
+WIRE_NAMES := Attempt-Id|Request-Deadline|Expected-Instance|Server-Signature|Server-Limit|Server-Leaving|Store-Era|Not-Executed|At-Server|Prompt-Prefix|/api/(report|order|picked|readiness|resolution|log-)|apiKeys|targetLatencyMs|coldRemainingMs
 
 lint:
 	@! git grep -nE '$(WIRE_NAMES)' -- '*.go' ':!platform/' || { echo "names of the platform's protocol outside platform/, expected none"; exit 1; }
