--- a/shared/fleet/position.go
+++ b/shared/fleet/position.go
@@ -5,7 +5,7 @@
 // Position is a place in a topic of the store. When the store is restored from a copy, a
 // new era begins, and offsets after the copy's are given out again.
 type Position struct {
-	// Era counts how often the store was restored.
+	// Era rises by one with each restore of the store.
 	Era    uint64
 	Offset int64
 }
