Do not take a refusal that is written twice for the answer to a later attempt

Cause: a kept connection accepted any response with the attempt's ID. After a refusal of an ID, a copy of it could not be told from the answer to the same ID sent again on that connection, and a refusal was believed though another response to the request followed in the same segment. A response 101 ends the attempt. Copies with an earlier ID or none, inside a stream or on an idle connection were handled before; tests show it. Conclusion: it could happen here, for repeated IDs only.

--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -48,6 +48,9 @@
 	// keep is how long the connection may be idle before it is closed.
 	keep      time.Duration
 	idleSince time.Time // When the connection became idle.
+	// refused lists the attempts that the target has refused on this connection. They are
+	// sent over other ones: a copy of the refusal could not be told from the response.
+	refused []string
 }
 
 // dial opens a connection. Errors match ErrNotSent.
@@ -159,12 +162,18 @@
 		if err != nil {
 			return nil, platform.TargetHeaders{}, err
 		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, platform.TargetHeaders{}, errSwitching
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		headers := platform.ParseTargetHeaders(response.StatusCode, response.Header)
 		reused := !c.idleSince.IsZero()
 		if headers.Attempt == r.Attempt || headers.Attempt == "" && !reused {
+			if headers.NotRun {
+				c.refused = append(c.refused, r.Attempt)
+			}
 			return response, headers, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,8 @@
 	maxDiscardBytes = 16 << 10
 	// maxIdle bounds the number of idle connections to one address.
 	maxIdle = 16
+	// maxRefused bounds the refusals on a connection that is reused.
+	maxRefused = 64
 )
 
 var (
@@ -39,6 +42,7 @@
 
 	errHeadTooLong = errors.New("response head exceeds the maximum of 64 KiB")
 	errStray       = errors.New("target sent only responses to other requests")
+	errSwitching   = errors.New("target switches to another protocol, expected an HTTP response")
 )
 
 // ClosedByTarget reports whether an error means that the target closed or reset the
@@ -69,14 +73,16 @@
 }
 
 // Discard reads the rest of the body, so that the connection can be reused. It gives up
-// after discardTimeout or maxDiscardBytes.
-func (r *Response) Discard() {
+// after discardTimeout or maxDiscardBytes. It reports whether other bytes follow: the
+// target may then have sent a second response to the request.
+func (r *Response) Discard() (followed bool) {
 	b, ok := r.Body.(*body)
 	if !ok || b.conn.net.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
-		return
+		return false
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(b, maxDiscardBytes)) // Close resets a connection with a rest.
 	_ = b.conn.net.SetReadDeadline(time.Time{})
+	return b.sawEOF && b.conn.reader.Buffered() > 0
 }
 
 // Pool holds idle connections to targets for reuse. The zero value is ready to use.
@@ -89,7 +95,7 @@
 // exchange including the body: when it ends, the connection is reset, so that the target
 // can stop the request. Errors match ErrNotSent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, t fleet.Target, r *Request) (*Response, error) {
-	c, reused, err := p.get(ctx, t.Address)
+	c, reused, err := p.get(ctx, t.Address, r.Attempt)
 	if err != nil {
 		return nil, err
 	}
@@ -105,7 +111,7 @@
 		c.abort()
 		return nil, ErrBroken.Wrap(err, "read response from %s", t.ID)
 	}
-	keep := !response.Close && len(r.Body) <= maxInlineBytes
+	keep := !response.Close && len(r.Body) <= maxInlineBytes && len(c.refused) <= maxRefused
 	if headers.Idle > 0 {
 		c.keep = time.Duration(idleShare * float64(headers.Idle))
 	}
@@ -113,12 +119,12 @@
 	return &Response{Response: response, Headers: headers, Reused: reused}, nil
 }
 
-// get returns an idle connection or opens one, and reports whether it is reused. Errors
-// match ErrNotSent.
-func (p *Pool) get(ctx context.Context, address netip.AddrPort) (*conn, bool, error) {
+// get returns an idle connection for an attempt or opens one, and reports whether it is
+// reused. Errors match ErrNotSent.
+func (p *Pool) get(ctx context.Context, address netip.AddrPort, attempt string) (*conn, bool, error) {
 	now := time.Now()
 	for {
-		c := p.pop(address)
+		c := p.pop(address, attempt)
 		if c == nil {
 			break
 		}
@@ -131,18 +137,19 @@
 	return c, false, err
 }
 
-// pop removes and returns the most recently used idle connection, or nil if there is
-// none.
-func (p *Pool) pop(address netip.AddrPort) *conn {
+// pop removes and returns the most recently used idle connection on which the target has
+// not refused an attempt, or nil if there is none.
+func (p *Pool) pop(address netip.AddrPort, attempt string) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.refused, attempt) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds an idle connection, or closes it if the address has maxIdle of them.
