End a broken stream visibly when the next target does not continue it

Cause: a resumed stream took any success for its rest. A success without events, of any type and also unsigned, ended the caller's stream as if it were complete. Errors' texts did not reach callers. Change: the rest must be a signed event stream with status 200; a refusal that other bytes follow counts as one that may have run.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,7 +19,11 @@
 	"github.com/apex/log"
 )
 
-var errBodyTooLong = errors.New("body of an error response exceeds the maximum of 256 KiB")
+var (
+	errBodyTooLong  = errors.New("body of an error response exceeds the maximum of 256 KiB")
+	errContradicted = errors.New("other bytes follow the response that states that the request has not run")
+	errNoStream     = errors.New("response does not continue the stream, expected a signed event stream with status 200")
+)
 
 // idleCloseTime is the time within which a target resets a request that is sent on a
 // connection that it has closed while it was idle. Reading a prompt takes longer.
@@ -70,8 +75,8 @@
 		return a.handleNotRun(ctx, response)
 	case response.StatusCode >= http.StatusInternalServerError:
 		return a.handleServerError(ctx, response)
-	case a.started && response.StatusCode != http.StatusOK:
-		return a.retryOrEnd(ctx, admission.Failed, true, nil)
+	case a.started && !continuesStream(response):
+		return a.retryOrEnd(ctx, admission.Failed, true, errNoStream)
 	case a.route.Kind == fleet.Stream && response.StatusCode == http.StatusOK:
 		return a.forwardStream(ctx, response)
 	default:
@@ -79,6 +84,13 @@
 	}
 }
 
+// continuesStream reports whether a response may hold the rest of a stream. An empty rest
+// ends the stream, so only the target's service may send one.
+func continuesStream(response *target.Response) bool {
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && response.StatusCode == http.StatusOK && response.Headers.Signed
+}
+
 // reportHead reports the limit that the target's response names, and which requests the
 // target wants. Responses that the target may have sent without consulting its service do
 // not end a limit, and those of another target at its address say nothing.
@@ -101,7 +113,9 @@
 // target uses the address, the target's group waits for another rank, or the target is
 // full.
 func (a *attempt) handleNotRun(ctx context.Context, response *target.Response) bool {
-	response.Discard()
+	if response.Discard() {
+		return a.retryOrEnd(ctx, admission.Failed, true, errContradicted)
+	}
 	outcome := admission.Full
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest && response.Headers.WaitsFor == "":
