--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -184,8 +184,11 @@
 			r.registerCrash(record)
 			continue
 		}
-		var i fleet.Instance
-		if err := json.Unmarshal(record.Value, &i); err != nil {
+		if record.Removed {
+			continue
+		}
+		i, err := decodeInstance(record)
+		if err != nil {
 			events.Log(r.logger, events.RecordUnreadable, log.Fields{"topic": record.Topic.String(), "key": record.Key, "error": err.Error()})
 			continue
 		}
@@ -193,10 +196,25 @@
 	}
 }
 
-// rewriteEntryRecords writes this instance's records again that a restored store lacks.
+// decodeInstance decodes the registration of an entry instance.
+func decodeInstance(record fleet.Record) (fleet.Instance, error) {
+	var i fleet.Instance
+	if err := json.Unmarshal(record.Value, &i); err != nil {
+		return fleet.Instance{}, fmt.Errorf("decode registration of entry instance %q: %w", record.Key, err)
+	}
+	return i, i.Check(record.Key)
+}
+
+// rewriteEntryRecords writes this instance's records again that a restored store lacks. The
+// copy may hold the registration of an earlier start, or from before the instance stops.
 func (r *Router) rewriteEntryRecords(listed []fleet.Record) {
-	if !slices.ContainsFunc(listed, func(record fleet.Record) bool { return record.Key == r.self.Name }) {
-		go r.publishRegistration(r.lifetime, r.stopping.Load())
+	self := r.self
+	self.Stopping = r.stopping.Load()
+	if !slices.ContainsFunc(listed, func(record fleet.Record) bool {
+		i, err := decodeInstance(record)
+		return err == nil && i == self
+	}) {
+		go r.publishRegistration(r.lifetime, self.Stopping)
 	}
 	select {
 	case r.crashes.found <- storedCrashes{records: listed, complete: true}:
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -44,6 +44,7 @@
 	replicas     map[string]*platformtest.Replica
 	client       *http.Client
 	seeds        []netip.AddrPort
+	log          io.Writer // Receives the logs of instances that start.
 }
 
 func testRoutes(service string) []platformtest.Route {
@@ -57,8 +58,15 @@
 // deploy starts entry instances and the replicas of one service. handlers lists the
 // replicas' handlers by id.
 func deploy(t *testing.T, instances int, handlers map[string]platformtest.Handler) *deployment {
+	return deployWithLog(t, io.Discard, instances, handlers)
+}
+
+// deployWithLog is deploy with a writer that receives the instances' logs. It may be read
+// once they have ended.
+func deployWithLog(t *testing.T, logged io.Writer, instances int, handlers map[string]platformtest.Handler) *deployment {
 	d := &deployment{
-		C: qt.New(t), store: &platformtest.Store{}, replicas: make(map[string]*platformtest.Replica),
+		log: logged,
+		C:   qt.New(t), store: &platformtest.Store{}, replicas: make(map[string]*platformtest.Replica),
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
 	}
 	d.storeAddress = d.store.Start()
@@ -94,7 +102,7 @@
 		RetryRatio: 0.2, RetrySlack: 90,
 		GracePeriod: settings.Duration(time.Second), AddressKeep: settings.Duration(time.Second),
 	}
-	sink := events.NewSink(io.Discard)
+	sink := events.NewSink(d.log)
 	r := NewRouter(o, events.NewLogger(sink))
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"chervilswitch.example/platform"
 	"chervilswitch.example/shared/admission"
@@ -30,11 +32,21 @@
 	// restoreGrace is how long after a restore of the store an evacuation that the copy
 	// lacks remains in force. Operators write again what the store has lost.
 	restoreGrace = 2 * time.Second
+	// maxUnreadable bounds the records that are remembered as unreadable.
+	maxUnreadable = 1024
 	// decisionBuffer is the capacity of a request's channel of decisions. Each Submit or
 	// Retry leads to one decision, so sending does not block.
 	decisionBuffer = 2
 )
 
+var errKeyNotUTF8 = errors.New("key is not valid UTF-8")
+
+// recordKey identifies a record's key in a topic.
+type recordKey struct {
+	topic fleet.Topic
+	key   string
+}
+
 // Options configures a Core.
 type Options struct {
 	Instance    string
@@ -87,6 +99,7 @@
 	era                 uint64 // The latest era of the store that any record or listing is from.
 	restored            time.Time
 	storeUnavailable    bool
+	unreadable          map[recordKey]string // Why the last record of a key cannot be used.
 }
 
 // New returns a Core without configuration or targets.
@@ -101,6 +114,8 @@
 		expired:   make(map[string]time.Time),
 		evacuated: make(map[string]bool),
 		lapsing:   make(map[string]time.Time),
+
+		unreadable: make(map[recordKey]string),
 	}
 	c.view.Store(&fleet.View{})
 	return c
@@ -415,7 +430,12 @@
 }
 
 // applyRecord applies one record and reports whether anything except a heartbeat changed.
+// Keys that are not UTF-8 cannot be sent to other instances.
 func (c *Core) applyRecord(now time.Time, r fleet.Record, source string) bool {
+	if !utf8.ValidString(r.Key) {
+		c.logUnreadable(r, source, errKeyNotUTF8)
+		return false
+	}
 	if r.Topic == fleet.OperatorTopic {
 		return c.applyOperatorRecord(now, r, source)
 	}
@@ -493,6 +513,7 @@
 		delete(c.targets, r.Key)
 		return existed
 	}
+	delete(c.unreadable, recordKey{topic: r.Topic, key: r.Key})
 	c.targets[r.Key] = t
 	t.ColdFor, previous.ColdFor = 0, 0 // ColdFor decreases with each heartbeat.
 	if existed && t == previous {
@@ -513,7 +534,17 @@
 	})
 }
 
+// logUnreadable logs a record that cannot be used, once for each key and reason. Its writer
+// may write it with each heartbeat.
 func (c *Core) logUnreadable(r fleet.Record, source string, err error) {
+	key := recordKey{topic: r.Topic, key: r.Key}
+	if c.unreadable[key] == err.Error() {
+		return
+	}
+	if len(c.unreadable) >= maxUnreadable {
+		clear(c.unreadable)
+	}
+	c.unreadable[key] = err.Error()
 	events.Log(c.options.Logger, events.RecordUnreadable, log.Fields{
 		"topic": r.Topic.String(), "key": r.Key, "offset": r.Position.Offset, "era": r.Position.Era, "source": source, "error": err.Error(),
 	})
@@ -528,8 +559,9 @@
 		Configuration: c.configuration, ConfirmedAt: c.view.Load().ConfirmedAt,
 		Targets: make(map[string][]fleet.Target), Members: make(map[string][]fleet.Target),
 	}
+	latest := c.latestIncarnations()
 	for _, t := range c.targets {
-		if c.replaced(t) {
+		if t.Incarnation < latest[t.Address] { // Replaced; the registration lasts until its heartbeats expire.
 			continue
 		}
 		if t.Group != "" {
@@ -545,15 +577,13 @@
 	}
 }
 
-// replaced reports whether a target with a later incarnation is registered at a target's
-// address. After a restart, the old registration remains until its heartbeats expire.
-func (c *Core) replaced(t fleet.Target) bool {
-	for _, other := range c.targets {
-		if other.Address == t.Address && other.Incarnation > t.Incarnation {
-			return true
-		}
+// latestIncarnations returns the latest incarnation that is registered at each address.
+func (c *Core) latestIncarnations() map[netip.AddrPort]uint64 {
+	latest := make(map[netip.AddrPort]uint64, len(c.targets))
+	for _, t := range c.targets {
+		latest[t.Address] = max(latest[t.Address], t.Incarnation)
 	}
-	return false
+	return latest
 }
 
 // HasTargetAt reports whether a target that may take new requests has the given address.
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -364,7 +364,11 @@
 		return
 	}
 	var i fleet.Instance
-	if err := json.Unmarshal(state.GetRegistration(), &i); err != nil {
+	err := json.Unmarshal(state.GetRegistration(), &i)
+	if err == nil {
+		err = i.Check(state.GetInstance())
+	}
+	if err != nil {
 		events.Log(m.logger, events.RecordUnreadable, log.Fields{"entry": state.GetInstance(), "error": err.Error()})
 		return
 	}
--- a/router/planner/group.go
+++ b/router/planner/group.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,8 @@
 	demandHalfLife = 4.5
 	// saveInterval is how often the demand is stored for the next leader.
 	saveInterval = 3 * time.Second
+	// maxStoredDemand bounds the demand of an expert that is read from the store.
+	maxStoredDemand = 1e12
 	// minDemandPerExpert is the demand that a plan needs, as the mean over the experts
 	// of the first set.
 	minDemandPerExpert = 20
@@ -137,13 +140,15 @@
 
 // updateWatches starts a watch for each newly registered rank and replaces it when the
 // rank registers with another address. A registration of an earlier incarnation than the
-// watched one is ignored. A watch continues after the registration is gone.
+// watched one is ignored, and so is one of the same incarnation while the watched one is
+// registered: two registrations may claim the same rank. A watch continues after the
+// registration is gone.
 func (g *group) updateWatches(ctx context.Context) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, t := range g.registered {
 		m, ok := g.members[t.Rank]
-		if ok && (m.target.Address == t.Address || m.target.Incarnation > t.Incarnation) {
+		if ok && (m.target.Address == t.Address || m.target.Incarnation > t.Incarnation || g.isRegistered(m.target) && m.target.Incarnation == t.Incarnation) {
 			continue
 		}
 		if ok {
@@ -156,6 +161,9 @@
 	}
 }
 
+// isRegistered reports whether a target is registered at its address.
+func (g *group) isRegistered(t fleet.Target) bool { return g.registered[t.ID].Address == t.Address }
+
 // run handles the group's events and plans switches until the context ends.
 func (g *group) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -188,7 +196,7 @@
 // handleUpdate records a message of a rank's sidecar.
 func (g *group) handleUpdate(now time.Time, update *peer.RankUpdate) []ranks.Effect {
 	report := update.GetReport().Report()
-	if report.Group != g.name {
+	if report.Group != g.name || report.Rank < 0 || report.Rank >= report.Ranks {
 		return nil
 	}
 	g.decay(report.Step)
@@ -197,14 +205,21 @@
 			g.demand[i/g.engine.Experts][i%g.engine.Experts] += float64(chosen)
 		}
 	}
-	if len(update.GetExperts()) > 0 {
-		g.experts[report.Rank] = rankExperts{epoch: report.Epoch, version: update.GetMap(), bySet: peer.DecodeExpertLists(update.GetExperts())}
+	if bySet := peer.DecodeExpertLists(update.GetExperts()); g.holdsExperts(bySet) {
+		g.experts[report.Rank] = rankExperts{epoch: report.Epoch, version: update.GetMap(), bySet: bySet}
 	}
 	g.latestReports[report.Rank] = report
 	g.planner.setState(g.name, g.state())
 	return g.switcher.Reduce(now, ranks.ReportReceived{Report: report})
 }
 
+// holdsExperts reports whether lists by set name experts of the engine only.
+func (g *group) holdsExperts(bySet [][]int) bool {
+	return len(bySet) == g.engine.Sets && !slices.ContainsFunc(bySet, func(experts []int) bool {
+		return slices.ContainsFunc(experts, func(expert int) bool { return expert < 0 || expert >= g.engine.Experts })
+	})
+}
+
 // decay lowers the weight of the counts from passes before step.
 func (g *group) decay(step uint64) {
 	if step > g.demandStep && g.demandStep != 0 {
@@ -226,19 +241,40 @@
 		return // Without it, planning starts from the ranks' counts.
 	}
 	for _, r := range listing.Records {
-		var stored ranks.Demand
-		if r.Key != g.name || json.Unmarshal(r.Value, &stored) != nil || len(stored) != g.engine.Sets {
+		if r.Key != g.name {
 			continue
 		}
-		for set := range stored {
-			if len(stored[set]) != g.engine.Experts {
-				return
-			}
+		stored, err := decodeDemand(r.Value, g.engine)
+		if err != nil {
+			events.Log(g.planner.Logger, events.RecordUnreadable, log.Fields{"topic": r.Topic.String(), "key": r.Key, "error": err.Error()})
+			continue
 		}
 		g.demand = stored
 	}
 }
 
+// decodeDemand decodes a stored demand of an engine's experts.
+func decodeDemand(value []byte, engine fleet.Engine) (ranks.Demand, error) {
+	var stored ranks.Demand
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return nil, fmt.Errorf("decode demand: %w", err)
+	}
+	if len(stored) != engine.Sets {
+		return nil, fmt.Errorf("demand of %d sets, expected %d", len(stored), engine.Sets)
+	}
+	for set, experts := range stored {
+		if len(experts) != engine.Experts {
+			return nil, fmt.Errorf("demand of %d experts in set %d, expected %d", len(experts), set, engine.Experts)
+		}
+		for expert, work := range experts {
+			if work < 0 || work > maxStoredDemand {
+				return nil, fmt.Errorf("demand %g of expert %d in set %d, expected 0 to %g", work, expert, set, float64(maxStoredDemand))
+			}
+		}
+	}
+	return stored, nil
+}
+
 // saveDemand writes the demand to the store.
 func (g *group) saveDemand(ctx context.Context, now time.Time) {
 	if now.Sub(g.lastSaved) < saveInterval || !g.hasEnoughDemand() {
--- a/shared/fleet/target.go
+++ b/shared/fleet/target.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -54,3 +55,16 @@
 	// Stopping reports that the instance accepts no new callers.
 	Stopping bool `json:"stopping,omitempty"`
 }
+
+// Check returns an error unless the registration was written under its own name and its
+// addresses can be connected to.
+func (i Instance) Check(key string) error {
+	switch {
+	case i.Name == "" || i.Name != key:
+		return fmt.Errorf("registration of entry instance %q: expected the name %q of its key", i.Name, key)
+	case !i.Callers.IsValid() || i.Callers.Port() == 0 || !i.Peers.IsValid() || i.Peers.Port() == 0:
+		return fmt.Errorf("registration of entry instance %q: addresses %s and %s, expected ports from 1", i.Name, i.Callers, i.Peers)
+	default:
+		return nil
+	}
+}
