Send peers what has changed, once, and let few forward what the store gives

Cause: each of 59 entries sent each other one all its loads and its registration five times a second (1.1 KB a message, 17,000 a second), and each record that the receiver had not yet read itself: in the moment after a change each instance sent the whole configuration to each other one, again with each message. All instances read the targets' topic each 1.3 s and waited 2 s at the operators' one. Change: after the first message on a link loads are changes and the registration is left out (receivers say that they understand it); a record is sent once on a link; in fleets of more than 8 two readers and one of each data centre forward, operators' records after 0.15 s, the others after 1.2 s; complete messages say how far they cover the store and that the configuration is current, so that the others check the targets each 5 s and wait 8 s at the operators' topic. Unchanged loads cause no decision.

--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -159,7 +159,7 @@
 	follower := &store.Follower{
 		Store: r.store, Sink: r.core, Logger: r.logger,
 		OnEntryRecords: r.registerEntries, OnEntriesRestored: r.rewriteEntryRecords,
-		OnChange: r.entries.Broadcast, IsStoreReader: r.entries.IsStoreReader,
+		OnChange: r.entries.ForwardRecords, Pace: r.storePace,
 	}
 	leadership := &planner.Leadership{Instance: r.options.Instance, Store: r.store, Leads: r.entries.Leads, Logger: r.logger}
 	r.entries.Duty, r.entries.Unable = leadership.Token, leadership.StoreUnreachable
@@ -176,6 +176,18 @@
 	goroutines.Go(func() { settings.Watch(lifetime, r.options.File, r.reload) })
 }
 
+// storePace returns how often this instance reads the store.
+func (r *Router) storePace() store.Pace {
+	switch role, small := r.entries.ReaderRole(); {
+	case role != entries.Checker:
+		return store.ReaderPace
+	case small:
+		return store.NonReaderPace
+	default:
+		return store.CheckerPace
+	}
+}
+
 // registerEntries applies registrations of entry instances, and the crashes that they have
 // reported.
 func (r *Router) registerEntries(records []fleet.Record) {
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -41,6 +41,13 @@
 
 var errKeyNotUTF8 = errors.New("key is not valid UTF-8")
 
+// change marks a record that changed anything except a heartbeat.
+type change struct {
+	position fleet.Position
+	number   uint64    // Among the changes of the topic, from 1.
+	at       time.Time // When this instance learned of it.
+}
+
 // recordKey identifies a record's key in a topic.
 type recordKey struct {
 	topic fleet.Topic
@@ -83,14 +90,16 @@
 	mutex     sync.Mutex
 	admission *admission.State
 	directory *fleet.Directory
-	// changes holds, by topic and key, the position of the last record that changed
-	// anything except a heartbeat.
-	changes  map[fleet.Topic]map[string]fleet.Position
-	requests map[admission.RequestID]decisionSenders
-	next     admission.RequestID
+	// changes holds, by topic and key, the last record that changed anything except a
+	// heartbeat; changeCounts holds how many there were, by topic.
+	changes      map[fleet.Topic]map[string]change
+	changeCounts map[fleet.Topic]uint64
+	requests     map[admission.RequestID]decisionSenders
+	next         admission.RequestID
 
 	configuration       *fleet.Configuration    // The latest; nil before the first.
 	configurationRecord fleet.Record            // The record of the latest configuration.
+	configurationAt     time.Time               // When this instance learned of it.
 	targets             map[string]fleet.Target // All readable registrations, by key.
 	expired             map[string]time.Time    // When expired targets are removed, by key.
 	evacuated           map[string]bool         // By data centre.
@@ -108,14 +117,15 @@
 		options:   o,
 		admission: admission.New(o.Instance, o.DataCentre, o.RetryBudget),
 		directory: fleet.NewDirectory(platform.CompareRecords),
-		changes:   make(map[fleet.Topic]map[string]fleet.Position),
+		changes:   make(map[fleet.Topic]map[string]change),
 		requests:  make(map[admission.RequestID]decisionSenders),
 		targets:   make(map[string]fleet.Target),
 		expired:   make(map[string]time.Time),
 		evacuated: make(map[string]bool),
 		lapsing:   make(map[string]time.Time),
 
-		unreadable: make(map[recordKey]string),
+		changeCounts: make(map[fleet.Topic]uint64),
+		unreadable:   make(map[recordKey]string),
 	}
 	c.view.Store(&fleet.View{})
 	return c
@@ -298,30 +308,52 @@
 	return c.directory.End(topic)
 }
 
-// ChangedSince returns the newest record of each key that has changed from a position on,
-// sorted by position. Records that only repeat a registration as a heartbeat are left out.
-func (c *Core) ChangedSince(topic fleet.Topic, from fleet.Position) []fleet.Record {
+// Changes is the part of a topic that ChangesAfter returns.
+type Changes struct {
+	Records []fleet.Record
+	// Number is the number of the last change that is included.
+	Number uint64
+	// Complete reports that no later change is known.
+	Complete bool
+}
+
+// ChangesAfter returns the newest record of each key that changed after the change of a
+// number, from a position on, sorted by position. Changes of which this instance learned
+// after a time are left out, and so are records that only repeat a registration as a
+// heartbeat.
+func (c *Core) ChangesAfter(topic fleet.Topic, number uint64, from fleet.Position, learnedBefore time.Time) Changes {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	var later []fleet.Record
-	for key, position := range c.changes[topic] {
-		if position.Before(from) {
+	found := Changes{Number: number, Complete: true}
+	if c.changeCounts[topic] == number {
+		return found
+	}
+	for key, change := range c.changes[topic] {
+		switch {
+		case change.at.After(learnedBefore):
+			found.Complete = false
+			continue
+		case change.number <= number:
+			continue
+		}
+		found.Number = max(found.Number, change.number)
+		if change.position.Before(from) {
 			continue
 		}
 		if r, ok := c.directory.Newest(topic, key); ok {
-			later = append(later, r)
+			found.Records = append(found.Records, r)
 		}
 	}
-	slices.SortFunc(later, func(a, b fleet.Record) int { return a.Position.Compare(b.Position) })
-	return later
+	slices.SortFunc(found.Records, func(a, b fleet.Record) int { return a.Position.Compare(b.Position) })
+	return found
 }
 
 // NewerConfiguration returns the record of the configuration in use if its version is
-// higher than the given one.
-func (c *Core) NewerConfiguration(version uint64) (fleet.Record, bool) {
+// higher than the given one and this instance learned of it before a time.
+func (c *Core) NewerConfiguration(version uint64, learnedBefore time.Time) (fleet.Record, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.configurationRecord, c.configuration != nil && c.configuration.Version > version
+	return c.configurationRecord, c.configuration != nil && c.configuration.Version > version && !c.configurationAt.After(learnedBefore)
 }
 
 // ConfigurationVersion returns the version of the configuration in use, or 0.
@@ -396,14 +428,27 @@
 
 // Confirm records that the view is current now. It is called after the operators' topic
 // has been read to its end.
-func (c *Core) Confirm() {
+func (c *Core) Confirm() { c.confirmAt(c.ConfigurationVersion(), time.Now()) }
+
+// ConfirmVersion records that a version of the configuration was current at a time, as
+// another instance says. It changes nothing if another version is in use.
+func (c *Core) ConfirmVersion(version uint64, at time.Time) { c.confirmAt(version, at) }
+
+func (c *Core) confirmAt(version uint64, at time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if version != c.ConfigurationVersion() || !at.After(c.view.Load().ConfirmedAt) {
+		return
+	}
 	view := *c.view.Load()
-	view.ConfirmedAt = time.Now()
+	view.ConfirmedAt = at
 	c.view.Store(&view)
 }
 
+// ConfirmedAt returns when the configuration in use was last known to be current; zero if
+// it never was.
+func (c *Core) ConfirmedAt() time.Time { return c.View().ConfirmedAt }
+
 // applyNewRecords decodes records that are newer than the known ones, publishes a view if
 // they change anything except heartbeats, and reports whether they do.
 func (c *Core) applyNewRecords(records []fleet.Record, source string) bool {
@@ -412,7 +457,7 @@
 	for _, r := range records {
 		if c.applyRecord(now, r, source) {
 			changed = true
-			c.recordChange(r)
+			c.recordChange(now, r)
 		}
 	}
 	if changed {
@@ -421,12 +466,13 @@
 	return changed
 }
 
-// recordChange marks a record as a change, so that ChangedSince returns it.
-func (c *Core) recordChange(r fleet.Record) {
+// recordChange marks a record as a change, so that ChangesAfter returns it.
+func (c *Core) recordChange(now time.Time, r fleet.Record) {
 	if c.changes[r.Topic] == nil {
-		c.changes[r.Topic] = make(map[string]fleet.Position)
+		c.changes[r.Topic] = make(map[string]change)
 	}
-	c.changes[r.Topic][r.Key] = r.Position
+	c.changeCounts[r.Topic]++
+	c.changes[r.Topic][r.Key] = change{position: r.Position, number: c.changeCounts[r.Topic], at: now}
 }
 
 // applyRecord applies one record and reports whether anything except a heartbeat changed.
@@ -465,11 +511,11 @@
 	if c.configuration != nil && configuration.Version <= c.configuration.Version {
 		return false
 	}
-	c.configuration, c.configurationRecord = configuration, r
+	c.configuration, c.configurationRecord, c.configurationAt = configuration, r, now
 	// Registrations of services that were unknown until now become readable.
 	for _, r := range c.directory.Records(fleet.TargetTopic) {
-		if c.applyTargetRecord(time.Now(), r, source) {
-			c.recordChange(r)
+		if c.applyTargetRecord(now, r, source) {
+			c.recordChange(now, r)
 		}
 	}
 	events.Log(c.options.Logger, events.ConfigurationTaken, log.Fields{
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"chervilswitch.example/router/core"
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
@@ -33,6 +35,10 @@
 	redialPause = 500 * time.Millisecond
 )
 
+// loadRefresh is how often the loads and groups that an instance reports are applied while
+// they do not change.
+const loadRefresh = time.Second
+
 // Core is the control state that state messages are read from and applied to.
 type Core interface {
 	// ApplyRecords applies records and reports whether anything except a heartbeat
@@ -41,11 +47,18 @@
 	HandleEvent(e admission.Event)
 	Running() map[string]int
 	End(topic fleet.Topic) fleet.Position
-	ChangedSince(topic fleet.Topic, from fleet.Position) []fleet.Record
+	// ChangesAfter returns the records of a topic that changed after the change of a number,
+	// from a position on, and of which this instance learned before a time.
+	ChangesAfter(topic fleet.Topic, number uint64, from fleet.Position, learnedBefore time.Time) core.Changes
 	// ConfigurationVersion returns the version of the configuration in use, or 0, and
-	// NewerConfiguration its record if the version is higher than the given one.
+	// NewerConfiguration its record if the version is higher than the given one and was
+	// learned before a time.
 	ConfigurationVersion() uint64
-	NewerConfiguration(version uint64) (fleet.Record, bool)
+	NewerConfiguration(version uint64, learnedBefore time.Time) (fleet.Record, bool)
+	// ConfirmedAt returns when the configuration was last known to be current, and
+	// ConfirmVersion records that a version was current at a time.
+	ConfirmedAt() time.Time
+	ConfirmVersion(version uint64, at time.Time)
 	// CrashEvidence returns the evidence of crashes and its version, without the evidence
 	// if the version is not newer than the given one.
 	CrashEvidence(since uint64) (admission.CrashEvidence, uint64)
@@ -77,6 +90,10 @@
 	stopping bool
 	groups   admission.GroupReport // This instance's report as the leader; empty otherwise.
 	members  map[string]*member
+	// held holds the positions up to which complete messages of others cover the topics.
+	held map[fleet.Topic]fleet.Position
+
+	loads ownLoads
 }
 
 // member is the last known state of another entry instance.
@@ -89,9 +106,9 @@
 	unable        bool                           // Its last claim of leadership did not reach the store.
 	ends          map[fleet.Topic]fleet.Position // The positions up to which it has read the topics.
 	configuration uint64                         // The version of the configuration that it uses.
-	evidence      uint64                         // The version of the crash evidence sent over the link.
-	limits        uint64                         // The version of the targets' limits sent over the link.
-	notices       uint64                         // The version of the notices sent over the link.
+	takesChanges  bool                           // It understands messages that hold changes only.
+	inbound       *inbound                       // What its latest stream has sent.
+	sent          sentState                      // What was sent over the link to it.
 	sharing       bool                           // It shares limits with this instance; see sharingInstances.
 	cancel        context.CancelFunc             // Closes the link to it.
 	wake          chan struct{}                  // Requests a state message at once.
@@ -99,14 +116,14 @@
 
 // NewMembership returns the membership of an instance that knows no other instances. The
 // links to other instances close when the context ends.
-func NewMembership(ctx context.Context, self fleet.Instance, core Core, logger log.Interface) *Membership {
+func NewMembership(ctx context.Context, self fleet.Instance, state Core, logger log.Interface) *Membership {
 	registration, err := json.Marshal(self)
 	if err != nil {
 		registration = nil // Unreachable: strings and numbers always encode.
 	}
 	return &Membership{
-		ctx: ctx, self: self, registration: registration, core: core, logger: logger,
-		members: make(map[string]*member), Duty: func() uint64 { return 0 }, Unable: func() bool { return false },
+		ctx: ctx, self: self, registration: registration, core: state, logger: logger,
+		members: make(map[string]*member), held: make(map[fleet.Topic]fleet.Position), Duty: func() uint64 { return 0 }, Unable: func() bool { return false },
 	}
 }
 
@@ -184,7 +201,7 @@
 		return // Watch reports an unreachable instance after livenessTimeout.
 	}
 	defer link.Close()
-	mb.evidence, mb.limits, mb.notices = 0, 0, 0 // What was sent over an earlier link may be lost.
+	mb.sent = sentState{} // What was sent over an earlier link may be lost.
 	stream, err := link.Open(&peer.Open{Kind: &peer.Open_Entry{Entry: m.stateFor(mb)}})
 	if err != nil {
 		return
@@ -207,48 +224,11 @@
 	}
 }
 
-// stateFor returns the state message for an instance. After the instance's first message,
-// which reports the positions that it has read up to, it includes the records that it lacks.
-func (m *Membership) stateFor(mb *member) *peer.EntryUpdate {
-	m.mutex.Lock()
-	configuration := mb.configuration
-	operatorEnd, targetEnd, received := mb.ends[fleet.OperatorTopic], mb.ends[fleet.TargetTopic], !mb.received.IsZero()
-	stopping, groups := m.stopping, m.groups
-	m.mutex.Unlock()
-	operators, targets := m.core.End(fleet.OperatorTopic), m.core.End(fleet.TargetTopic)
-	state := &peer.EntryUpdate{
-		Instance: m.self.Name, Incarnation: m.self.Incarnation, Stopping: stopping, Duty: m.Duty(), Unable: m.Unable(),
-		OperatorEnd: operators.Offset, OperatorEra: operators.Era, TargetEnd: targets.Offset, TargetEra: targets.Era,
-		Configuration: m.core.ConfigurationVersion(),
-		Running:       make(map[string]int32), Closed: groups.Closed, Paces: groups.Paces, Registration: m.registration,
-	}
-	for target, running := range m.core.Running() {
-		state.Running[target] = int32(running)
-	}
-	m.addCrashEvidence(state, mb)
-	m.addTargetLimits(state, mb)
-	m.addTargetNotices(state, mb)
-	if received {
-		records := append(m.core.ChangedSince(fleet.OperatorTopic, operatorEnd), m.core.ChangedSince(fleet.TargetTopic, targetEnd)...)
-		// A restore may have lost a configuration that the instance has never read.
-		newer, ok := m.core.NewerConfiguration(configuration)
-		if ok && !slices.ContainsFunc(records, func(r fleet.Record) bool { return r.Topic == newer.Topic && r.Key == newer.Key }) {
-			records = append(records, newer)
-		}
-		for _, r := range records {
-			state.Records = append(state.Records, &peer.StoreRecord{
-				Topic: int32(r.Topic), Key: r.Key, Offset: r.Position.Offset, Era: r.Position.Era, Value: r.Value, Removed: r.Removed,
-			})
-		}
-	}
-	return state
-}
-
 // addCrashEvidence adds the evidence of crashes that is new to an instance to a state
 // message for it.
 func (m *Membership) addCrashEvidence(state *peer.EntryUpdate, mb *member) {
 	var evidence admission.CrashEvidence
-	evidence, mb.evidence = m.core.CrashEvidence(mb.evidence)
+	evidence, mb.sent.evidence = m.core.CrashEvidence(mb.sent.evidence)
 	now := time.Now()
 	for _, r := range evidence.Reports {
 		state.Crashes = append(state.Crashes, &peer.CrashReport{
@@ -287,7 +267,7 @@
 // message for it.
 func (m *Membership) addTargetLimits(state *peer.EntryUpdate, mb *member) {
 	var limits []admission.TargetLimit
-	limits, mb.limits = m.core.TargetLimitsSince(mb.limits)
+	limits, mb.sent.limits = m.core.TargetLimitsSince(mb.sent.limits)
 	now := time.Now()
 	for _, l := range limits {
 		state.Limits = append(state.Limits, &peer.TargetLimit{
@@ -316,7 +296,7 @@
 // another instance, to a state message for it.
 func (m *Membership) addTargetNotices(state *peer.EntryUpdate, mb *member) {
 	var notices []admission.TargetNotice
-	notices, mb.notices = m.core.TargetNoticesSince(mb.notices)
+	notices, mb.sent.notices = m.core.TargetNoticesSince(mb.sent.notices)
 	now := time.Now()
 	for _, n := range notices {
 		state.Notices = append(state.Notices, &peer.TargetNotice{
@@ -344,8 +324,9 @@
 // Serve applies the state messages of one instance until its link ends.
 func (m *Membership) Serve(ctx context.Context, first *peer.EntryUpdate, stream *peer.Stream) {
 	state := first
+	in := &inbound{}
 	for ctx.Err() == nil {
-		m.applyState(state)
+		m.applyState(state, in)
 		state = new(peer.EntryUpdate)
 		if stream.Receive(state) != nil {
 			return // The instance dials again or exceeds the liveness timeout.
@@ -406,18 +387,23 @@
 
 // applyState applies a state message: the sender's liveness, load, group states and
 // records. A message of an unknown instance is applied only if it registers the instance.
-func (m *Membership) applyState(state *peer.EntryUpdate) {
+func (m *Membership) applyState(state *peer.EntryUpdate, in *inbound) {
 	m.registerUnknown(state)
+	changed := in.add(state)
 	m.mutex.Lock()
 	mb, ok := m.members[state.GetInstance()]
+	latest := ok
 	if ok && mb.instance.Incarnation == state.GetIncarnation() {
 		recovered := time.Since(mb.received) > livenessTimeout
+		changed = changed || recovered
 		mb.received = time.Now()
 		mb.lastSeen, mb.sharing = mb.received, true
 		mb.stopping, mb.fencingToken, mb.unable = state.GetStopping(), state.GetDuty(), state.GetUnable()
-		mb.configuration = state.GetConfiguration()
-		mb.ends[fleet.OperatorTopic] = fleet.Position{Era: state.GetOperatorEra(), Offset: state.GetOperatorEnd()}
-		mb.ends[fleet.TargetTopic] = fleet.Position{Era: state.GetTargetEra(), Offset: state.GetTargetEnd()}
+		mb.configuration, mb.takesChanges = state.GetConfiguration(), state.GetTakesChanges()
+		for topic, end := range reportedEnds(state) {
+			mb.ends[topic] = end
+		}
+		latest = in.isLatestOf(mb)
 		if recovered {
 			events.Log(m.logger, events.EntriesChanged, log.Fields{"entry": state.GetInstance(), "state": "heard"})
 		}
@@ -426,25 +412,15 @@
 	if !ok {
 		return // Its registration is not known yet, or could not be decoded.
 	}
-	records := make([]fleet.Record, len(state.GetRecords()))
-	for i, r := range state.GetRecords() {
-		records[i] = fleet.Record{
-			Topic: fleet.Topic(r.GetTopic()), Key: r.GetKey(), Value: r.GetValue(), Removed: r.GetRemoved(),
-			Position: fleet.Position{Era: r.GetEra(), Offset: r.GetOffset()},
-		}
-	}
-	if m.core.ApplyRecords(records, state.GetInstance()) {
-		defer m.Broadcast()
-	}
-	running := make(map[string]int, len(state.GetRunning()))
-	for target, count := range state.GetRunning() {
-		running[target] = int(count)
-	}
+	m.applyRecords(state)
 	m.applyCrashEvidence(state)
 	m.applyTargetLimits(state)
 	m.applyTargetNotices(state)
-	m.core.HandleEvent(admission.GroupReport{Instance: state.GetInstance(), Closed: state.GetClosed(), Paces: state.GetPaces()})
-	m.core.HandleEvent(admission.PeerLoad{Peer: state.GetInstance(), Running: running})
+	if now := time.Now(); latest && (changed || now.Sub(in.appliedAt) > loadRefresh) {
+		in.appliedAt = now
+		m.core.HandleEvent(in.groups)
+		m.core.HandleEvent(admission.PeerLoad{Peer: state.GetInstance(), Running: maps.Clone(in.running)})
+	}
 }
 
 // Watch sends a PeerLost event to the core when the state messages of an instance stop,
@@ -531,24 +507,6 @@
 	return addresses
 }
 
-// storeReaders is how many instances read the targets' topic at short intervals and
-// forward its records to the others.
-const storeReaders = 2
-
-// IsStoreReader reports whether this instance reads the targets' topic for the others:
-// fewer than storeReaders live instances have a lower name.
-func (m *Membership) IsStoreReader() bool {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	lowerNames := 0
-	for name, mb := range m.members {
-		if !mb.stopping && time.Since(mb.received) < livenessTimeout && name < m.self.Name {
-			lowerNames++
-		}
-	}
-	return lowerNames < storeReaders
-}
-
 // Leads reports whether this instance should be the leader, which runs the planner; own
 // is its fencing token, or 0. The result is false while this instance is stopping or
 // another live instance holds a higher token. Without a token, it is also false while a
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"chervilswitch.example/router/core"
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/fleet"
 	"chervilswitch.example/shared/peer"
@@ -19,13 +20,19 @@
 // emptyCore is a Core without state.
 type emptyCore struct{}
 
-func (emptyCore) ApplyRecords([]fleet.Record, string) bool                { return false }
-func (emptyCore) HandleEvent(admission.Event)                             {}
-func (emptyCore) Running() map[string]int                                 { return nil }
-func (emptyCore) End(fleet.Topic) fleet.Position                          { return fleet.Position{} }
-func (emptyCore) ChangedSince(fleet.Topic, fleet.Position) []fleet.Record { return nil }
-func (emptyCore) ConfigurationVersion() uint64                            { return 0 }
-func (emptyCore) NewerConfiguration(uint64) (fleet.Record, bool)          { return fleet.Record{}, false }
+func (emptyCore) ApplyRecords([]fleet.Record, string) bool { return false }
+func (emptyCore) HandleEvent(admission.Event)              {}
+func (emptyCore) Running() map[string]int                  { return nil }
+func (emptyCore) End(fleet.Topic) fleet.Position           { return fleet.Position{} }
+func (emptyCore) ConfirmedAt() time.Time                   { return time.Time{} }
+func (emptyCore) ConfirmVersion(uint64, time.Time)         {}
+func (emptyCore) ChangesAfter(fleet.Topic, uint64, fleet.Position, time.Time) core.Changes {
+	return core.Changes{Complete: true}
+}
+func (emptyCore) ConfigurationVersion() uint64 { return 0 }
+func (emptyCore) NewerConfiguration(uint64, time.Time) (fleet.Record, bool) {
+	return fleet.Record{}, false
+}
 func (emptyCore) TargetLimitsSince(uint64) ([]admission.TargetLimit, uint64) {
 	return nil, 0
 }
@@ -42,7 +49,7 @@
 	for _, state := range others {
 		state.Incarnation = 1
 		m.Register(fleet.Instance{Name: state.Instance, Incarnation: 1, Peers: address})
-		m.applyState(state)
+		m.applyState(state, &inbound{})
 	}
 	return m
 }
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -17,8 +17,12 @@
 )
 
 const (
-	// longPollTimeout is how long the store holds a read until there is a new record.
+	// longPollTimeout is how long the store holds a read until there is a new record. A
+	// connection that has gone silent is noticed after it.
 	longPollTimeout = 2 * time.Second
+	// checkerPollTimeout is the longPollTimeout of the operators' topic at instances that
+	// also learn from others that their configuration is current.
+	checkerPollTimeout = 8 * time.Second
 	// entryPollTimeout is the longPollTimeout of the topic of entry instances. It is
 	// longer because entry instances also exchange their state directly.
 	entryPollTimeout = 8 * time.Second
@@ -29,10 +33,37 @@
 	// nonReaderInterval is the pause between the reads of the targets' topic by other
 	// instances, which receive its records from a reader as well.
 	nonReaderInterval = 1300 * time.Millisecond
+	// checkerInterval is the nonReaderInterval where several readers serve each instance.
+	checkerInterval = 5 * time.Second
 	// retryInterval is the pause between calls while the store is unavailable.
 	retryInterval = 300 * time.Millisecond
 )
 
+// Pace is how often an instance reads the store.
+type Pace int
+
+// The paces, the fastest first.
+const (
+	// ReaderPace is that of an instance that reads for others.
+	ReaderPace Pace = iota
+	// NonReaderPace is that of other instances.
+	NonReaderPace
+	// CheckerPace is that of instances for each of which several readers read.
+	CheckerPace
+)
+
+// targetInterval returns the pause between two reads of the targets' topic.
+func (p Pace) targetInterval() time.Duration {
+	switch p {
+	case ReaderPace:
+		return readerInterval
+	case NonReaderPace:
+		return nonReaderInterval
+	default:
+		return checkerInterval
+	}
+}
+
 // Sink receives records from the store and the store's availability.
 type Sink interface {
 	// ApplyRecords applies records and reports whether anything except a heartbeat
@@ -58,8 +89,8 @@
 	OnEntriesRestored func(listed []fleet.Record)
 	// OnChange is called after records that changed anything except a heartbeat.
 	OnChange func()
-	// IsStoreReader reports whether this instance reads the targets' topic for others.
-	IsStoreReader func() bool
+	// Pace returns how often this instance reads.
+	Pace func() Pace
 
 	mutex       sync.Mutex
 	unavailable bool
@@ -97,10 +128,8 @@
 			listed = false
 		case err != nil:
 			pause = retryInterval
-		case topic == fleet.TargetTopic && f.IsStoreReader():
-			listed, pause = true, readerInterval
 		case topic == fleet.TargetTopic:
-			listed, pause = true, nonReaderInterval
+			listed, pause = true, f.Pace().targetInterval()
 		default:
 			listed = true
 		}
@@ -146,11 +175,13 @@
 // next read.
 func (f *Follower) read(ctx context.Context, topic fleet.Topic, from fleet.Position) (fleet.Position, error) {
 	wait := longPollTimeout
-	switch topic {
-	case fleet.TargetTopic:
+	switch {
+	case topic == fleet.TargetTopic:
 		wait = 0
-	case fleet.EntryTopic:
+	case topic == fleet.EntryTopic:
 		wait = entryPollTimeout
+	case f.Pace() == CheckerPace:
+		wait = checkerPollTimeout
 	}
 	readContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
