Pause between reads of the entry instances' registrations

Change: a pause of 1 s after each read of that topic. Instances also register with each other when they connect. Result: TestReadsAtStartGrowWithInstances: 931 reads by 30 instances before, 90 now.

--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -26,6 +26,10 @@
 	// entryPollTimeout is the longPollTimeout of the topic of entry instances. It is
 	// longer because entry instances also exchange their state directly.
 	entryPollTimeout = 8 * time.Second
+	// entryInterval is the pause between the reads of the topic of entry instances. When all
+	// of them start at once, each registration would otherwise end a read of each of them.
+	// Instances also register with each other when they connect.
+	entryInterval = time.Second
 	// readerInterval is the pause between the reads of the targets' topic by a reader.
 	// Each heartbeat is a record there, so long polls would return too often. A draining
 	// target must receive no new requests after 2 s.
@@ -130,6 +134,8 @@
 			pause = retryInterval
 		case topic == fleet.TargetTopic:
 			listed, pause = true, f.Pace().targetInterval()
+		case topic == fleet.EntryTopic:
+			listed, pause = true, entryInterval
 		default:
 			listed = true
 		}
