Call the store less while it is away, and list a topic at once whose era another one has shown

Change: topics other than the operators' wait for that one, at most 1.5 s; instances for each of which several others read retry each 1 s; a read from an earlier era than the known one ends at once.

--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -39,8 +39,13 @@
 	nonReaderInterval = 1300 * time.Millisecond
 	// checkerInterval is the nonReaderInterval where several readers serve each instance.
 	checkerInterval = 5 * time.Second
-	// retryInterval is the pause between calls while the store is unavailable.
-	retryInterval = 300 * time.Millisecond
+	// retryInterval is the pause between calls while the store is unavailable, and
+	// checkerRetryInterval that of instances for each of which several readers read.
+	retryInterval        = 300 * time.Millisecond
+	checkerRetryInterval = time.Second
+	// followRetryInterval is the longest pause between the calls on a topic while those on
+	// the operators' topic fail as well. They are made at once when that topic is read again.
+	followRetryInterval = 1500 * time.Millisecond
 )
 
 // Pace is how often an instance reads the store.
@@ -68,6 +73,14 @@
 	}
 }
 
+// retryInterval returns the pause between two calls while the store is unavailable.
+func (p Pace) retryInterval() time.Duration {
+	if p == CheckerPace {
+		return checkerRetryInterval
+	}
+	return retryInterval
+}
+
 // Sink receives records from the store and the store's availability.
 type Sink interface {
 	// ApplyRecords applies records and reports whether anything except a heartbeat
@@ -98,7 +111,9 @@
 
 	mutex       sync.Mutex
 	unavailable bool
-	era         uint64 // The latest era of a listing.
+	// operatorsReadable is closed while the last call on the operators' topic has succeeded.
+	operatorsReadable chan struct{}
+	era               uint64 // The latest era of a listing.
 	// reads holds the cancel functions of the reads in flight, which end when another topic
 	// is found to be restored. A read may otherwise wait for records that are already there.
 	reads map[fleet.Topic]context.CancelCauseFunc
@@ -107,6 +122,8 @@
 // Run follows all topics until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.reads = make(map[fleet.Topic]context.CancelCauseFunc)
+	f.operatorsReadable = make(chan struct{})
+	close(f.operatorsReadable)
 	var group sync.WaitGroup
 	for _, topic := range []fleet.Topic{fleet.OperatorTopic, fleet.TargetTopic, fleet.EntryTopic} {
 		group.Go(func() { f.follow(ctx, topic) })
@@ -131,7 +148,7 @@
 		case isOutdated(err):
 			listed = false
 		case err != nil:
-			pause = retryInterval
+			pause = f.Pace().retryInterval()
 		case topic == fleet.TargetTopic:
 			listed, pause = true, f.Pace().targetInterval()
 		case topic == fleet.EntryTopic:
@@ -142,11 +159,29 @@
 		if ctx.Err() == nil {
 			f.updateAvailability(topic, err)
 		}
+		f.wait(ctx, topic, err, pause)
+	}
+}
+
+// wait waits for a pause. After an error on another topic than the operators' it waits
+// until that topic can be read, at most for followRetryInterval, so that only one call at a
+// time finds out whether the store is back.
+func (f *Follower) wait(ctx context.Context, topic fleet.Topic, err error, pause time.Duration) {
+	var readable <-chan struct{}
+	if err != nil && !isOutdated(err) && topic != fleet.OperatorTopic {
+		f.withLock(func() { readable = f.operatorsReadable })
 		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-readable: // Only this topic fails.
+			readable = nil
+		default:
+			pause = followRetryInterval
 		}
 	}
+	select {
+	case <-ctx.Done():
+	case <-readable:
+	case <-time.After(pause):
+	}
 }
 
 // isOutdated reports whether the store responded, but a topic must be listed again.
@@ -191,7 +226,11 @@
 	}
 	readContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	f.withLock(func() { f.reads[topic] = cancel })
+	known := uint64(0)
+	f.withLock(func() { f.reads[topic], known = cancel, f.era })
+	if known > from.Era { // Another topic has shown it while this one was not read.
+		return from, platform.ErrRestored.New("read of topic %s from era %d: a listing was of era %d", topic, from.Era, known)
+	}
 	records, next, err := f.Store.Read(readContext, topic, from, wait)
 	if err != nil && errors.Is(context.Cause(readContext), platform.ErrRestored) {
 		return from, context.Cause(readContext)
@@ -243,6 +282,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	unavailable := err != nil && !isOutdated(err)
+	if topic == fleet.OperatorTopic {
+		f.setOperatorsReadable(!unavailable)
+	}
 	if unavailable == f.unavailable {
 		return
 	}
@@ -254,3 +296,18 @@
 	}
 	events.Log(f.Logger, events.DependencyRegained, log.Fields{"dependency": "store", "topic": topic.String()})
 }
+
+// setOperatorsReadable sets whether the last call on the operators' topic has succeeded.
+// The mutex must be held.
+func (f *Follower) setOperatorsReadable(readable bool) {
+	select {
+	case <-f.operatorsReadable:
+		if !readable {
+			f.operatorsReadable = make(chan struct{})
+		}
+	default:
+		if readable {
+			close(f.operatorsReadable)
+		}
+	}
+}
--- a/router/store/follower_test.go
+++ b/router/store/follower_test.go
@@ -54,3 +54,62 @@
 	c.Logf("%d reads by %d instances", reads, instances)
 	c.Assert(reads <= 5*instances, qt.IsTrue)
 }
+
+// While the store refuses all calls, an instance finds out with few calls that it is back,
+// and then reads all topics at once.
+func TestFewCallsWhileStoreIsUnavailable(t *testing.T) {
+	for name, test := range map[string]struct {
+		pace     Pace
+		maxCalls int           // In 3 s, over all topics.
+		back     time.Duration // Until all topics are listed.
+	}{
+		"reader":  {pace: ReaderPace, maxCalls: 18, back: 700 * time.Millisecond},
+		"checker": {pace: CheckerPace, maxCalls: 10, back: 1400 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			fake := &platformtest.Store{}
+			address := fake.Start()
+			defer fake.Close()
+			fake.SetFault(platformtest.Unavailable)
+			listed := &listingSink{}
+			f := &Follower{
+				Store: platform.NewStore(address), Sink: listed, Logger: events.NewLogger(events.NewSink(io.Discard)),
+				OnEntryRecords: func([]fleet.Record) { listed.add() }, OnEntriesRestored: func([]fleet.Record) {}, OnChange: func() {},
+				Pace: func() Pace { return test.pace },
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			group.Go(func() { f.Run(ctx) })
+			time.Sleep(3 * time.Second)
+			calls := fake.Calls("keyed.op") + fake.Calls("keyed.servers") + fake.Calls("keyed.entries")
+			c.Check(calls <= test.maxCalls, qt.IsTrue, qt.Commentf("%d calls", calls))
+			fake.SetFault(platformtest.NoFault)
+			time.Sleep(test.back)
+			c.Check(listed.count() >= 3, qt.IsTrue, qt.Commentf("%d topics listed", listed.count()))
+			cancel()
+			group.Wait()
+		})
+	}
+}
+
+// listingSink counts the listings of topics.
+type listingSink struct {
+	ignoringSink
+	mutex  sync.Mutex
+	topics int
+}
+
+func (l *listingSink) ApplyTopicListing(fleet.Topic, platform.Listing) { l.add() }
+
+func (l *listingSink) add() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.topics++
+}
+
+func (l *listingSink) count() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.topics
+}
