Write raw responses of tests in platformtest

Cause: lint found names of the platform's protocol in a test outside platform/. Change: WriteUnsigned and NotExecuted in platformtest.

--- a/router/caller/resume_test.go
+++ b/router/caller/resume_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,32 +18,38 @@
 	respond := func(status int, body string, headers ...string) platformtest.Handler {
 		return func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.WriteResponse(status, body, headers...) }
 	}
+	unsigned := func(status, rest string) platformtest.Handler {
+		return func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.WriteUnsigned(status, rest) }
+	}
 	raw := func(text string) platformtest.Handler {
-		return func(w *platformtest.ResponseWriter, r platformtest.Run) {
-			_, _ = io.WriteString(w.Conn, strings.ReplaceAll(text, "ATTEMPT", r.Attempt))
+		return func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			_, _ = io.WriteString(w.Conn, text)
 			w.Close()
 		}
 	}
 	for name, next := range map[string]platformtest.Handler{
 		"500 with a body":            respond(http.StatusInternalServerError, "failed"),
 		"503 with a body":            respond(http.StatusServiceUnavailable, "busy"),
-		"503 that has not run":       respond(http.StatusServiceUnavailable, "busy", "Not-Executed: 1"),
-		"429 that has not run":       respond(http.StatusTooManyRequests, "busy", "Not-Executed: 1"),
+		"503 that has not run":       respond(http.StatusServiceUnavailable, "busy", platformtest.NotExecuted()),
+		"429 that has not run":       respond(http.StatusTooManyRequests, "busy", platformtest.NotExecuted()),
 		"404":                        respond(http.StatusNotFound, "no such stream"),
 		"302":                        respond(http.StatusFound, "", "Location: /elsewhere"),
-		"204":                        raw("HTTP/1.1 204 No Content\r\nAttempt-Id: ATTEMPT\r\n\r\n"),
+		"204":                        unsigned("204 No Content", "\r\n"),
 		"200 without events":         respond(http.StatusOK, "", "Content-Type: application/json"),
 		"200 without a type":         respond(http.StatusOK, ""),
 		"200 with an error":          respond(http.StatusOK, `{"error":"failed"}`, "Content-Type: application/json"),
 		"200 with an error of lines": respond(http.StatusOK, "failed\n\n", "Content-Type: text/plain"),
 		"error as an event":          respond(http.StatusOK, "event: error\ndata: failed\n\n", "Content-Type: text/event-stream"),
-		"unsigned empty stream":      raw("HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"),
-		"unframed error":             raw("HTTP/1.1 500 Failed\r\nAttempt-Id: ATTEMPT\r\n\r\nfailed"),
-		"chunked error":              raw("HTTP/1.1 500 Failed\r\nAttempt-Id: ATTEMPT\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nfailed\r\n0\r\n\r\n"),
-		"interim, then an error":     raw("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 Failed\r\nAttempt-Id: ATTEMPT\r\nContent-Length: 6\r\n\r\nfailed"),
-		"switching protocols":        raw("HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: ATTEMPT\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nfailed"),
-		"not HTTP":                   raw("failed\r\n\r\n"),
-		"nothing":                    raw(""),
+		"unsigned empty stream":      unsigned("200 OK", "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"),
+		"unframed error":             unsigned("500 Failed", "\r\nfailed"),
+		"chunked error":              unsigned("500 Failed", "Transfer-Encoding: chunked\r\n\r\n6\r\nfailed\r\n0\r\n\r\n"),
+		"interim, then an error": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			_, _ = io.WriteString(w.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
+			w.WriteUnsigned("500 Failed", "Content-Length: 6\r\n\r\nfailed")
+		},
+		"switching protocols": unsigned("101 Switching Protocols", "Upgrade: x\r\nConnection: upgrade\r\n\r\nfailed"),
+		"not HTTP":            raw("failed\r\n\r\n"),
+		"nothing":             raw(""),
 		"wrong event": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
 			w.StartStream()
 			w.WriteEvent(2)
@@ -107,9 +112,8 @@
 // Before the first event, a response that is no stream is forwarded as it is unless it is
 // a success.
 func TestSuccessWithoutEventsIsNoStream(t *testing.T) {
-	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": func(w *platformtest.ResponseWriter, r platformtest.Run) {
-		_, _ = io.WriteString(w.Conn, "HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: "+r.Attempt+"\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nfailed")
-		w.Close()
+	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+		w.WriteUnsigned("101 Switching Protocols", "Upgrade: x\r\nConnection: upgrade\r\n\r\nfailed")
 	}})
 	d.Assert(d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: "a"}).status, qt.Equals, http.StatusBadGateway)
 }
