--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,8 @@
 	go test -run xxx -fuzz FuzzInventory -fuzztime $(FUZZ_TIME) ./shared/operator
 	go test -run xxx -fuzz FuzzStream -fuzztime $(FUZZ_TIME) ./shared/peer
 	go test -run xxx -fuzz FuzzSettings -fuzztime $(FUZZ_TIME) ./shared/settings
+	go test -run xxx -fuzz FuzzTargetRecord -fuzztime $(FUZZ_TIME) ./platform
+	go test -run xxx -fuzz FuzzMessages -fuzztime $(FUZZ_TIME) ./platform
 	go test -run xxx -fuzz FuzzEventID -fuzztime $(FUZZ_TIME) ./entry/caller
 
 measure:
--- a/router/caller/resume_test.go
+++ b/router/caller/resume_test.go
@@ -12,6 +12,23 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// cutAfterTwoEvents returns a handler that cuts the first stream off after two events and
+// passes the requests after it to another handler.
+func cutAfterTwoEvents(next platformtest.Handler) platformtest.Handler {
+	var cut atomic.Bool
+	return func(w *platformtest.ResponseWriter, r platformtest.Run) {
+		if !cut.CompareAndSwap(false, true) {
+			next(w, r)
+			return
+		}
+		w.StartStream()
+		w.WriteEvent(1)
+		w.WriteEvent(2)
+		time.Sleep(20 * time.Millisecond)
+		w.Reset()
+	}
+}
+
 // A stream has begun and breaks off, and the next target answers with something else than
 // its rest. Callers receive events of the stream only, and see that it was cut.
 func TestBrokenStreamGetsNoOtherBytes(t *testing.T) {
@@ -69,18 +86,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var cut atomic.Bool
-			handler := func(w *platformtest.ResponseWriter, r platformtest.Run) {
-				if !cut.CompareAndSwap(false, true) {
-					next(w, r)
-					return
-				}
-				w.StartStream()
-				w.WriteEvent(1)
-				w.WriteEvent(2)
-				time.Sleep(20 * time.Millisecond)
-				w.Reset()
-			}
+			handler := cutAfterTwoEvents(next)
 			d := deploy(t, 1, map[string]platformtest.Handler{"i-1": handler, "i-2": handler})
 			a := d.mustCall(platformtest.Call{Path: streamPath, Attempt: "a"})
 			d.Assert(a.body, qt.Equals, expectedStream(1, 2))
@@ -91,18 +97,7 @@
 
 // A target that has nothing more to send after the last event ends the stream.
 func TestStreamThatBreaksAfterItsLastEventIsCompleted(t *testing.T) {
-	var cut atomic.Bool
-	handler := func(w *platformtest.ResponseWriter, r platformtest.Run) {
-		if !cut.CompareAndSwap(false, true) {
-			streamEvents(1, 2)(w, r)
-			return
-		}
-		w.StartStream()
-		w.WriteEvent(1)
-		w.WriteEvent(2)
-		time.Sleep(20 * time.Millisecond)
-		w.Reset()
-	}
+	handler := cutAfterTwoEvents(streamEvents(1, 2))
 	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": handler, "i-2": handler})
 	a := d.mustCall(platformtest.Call{Path: streamPath, Attempt: "a"})
 	d.Assert(a.cut, qt.IsFalse)
