Read the store more often while no message of others covers it

Cause: an instance of a large fleet that hears none of those that read for it checked the targets each 5 s only, longer than drainMs (3 and 4 s on the grown and large deployments). Change: a checker that has received no complete message for 1.5 s reads as instances of small fleets do. Result: TestInstanceWithoutReadersReadsItself (the role did not exist before).

--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -179,9 +179,9 @@
 // storePace returns how often this instance reads the store.
 func (r *Router) storePace() store.Pace {
 	switch role, small := r.entries.ReaderRole(); {
-	case role != entries.Checker:
+	case role >= entries.LocalReader:
 		return store.ReaderPace
-	case small:
+	case small || role == entries.Uncovered:
 		return store.NonReaderPace
 	default:
 		return store.CheckerPace
--- a/router/entries/dissemination.go
+++ b/router/entries/dissemination.go
@@ -36,6 +36,9 @@
 const (
 	// Checker reads the targets' topic at long intervals only.
 	Checker ReaderRole = iota
+	// Uncovered is a Checker that has received no complete message for livenessTimeout. It
+	// reads the targets' topic more often.
+	Uncovered
 	// LocalReader reads for its data centre.
 	LocalReader
 	// Reader reads for all instances.
@@ -49,6 +52,8 @@
 		return "reader"
 	case LocalReader:
 		return "localReader"
+	case Uncovered:
+		return "uncovered"
 	default:
 		return "checker"
 	}
@@ -65,6 +70,9 @@
 
 func (m *Membership) readerRole() (role ReaderRole, small bool) {
 	live, lower, lowerNearby := 1, 0, 0
+	if time.Since(m.coveredAt) >= livenessTimeout {
+		defer func() { role = max(role, Uncovered) }()
+	}
 	for name, mb := range m.members {
 		if mb.stopping || time.Since(mb.received) >= livenessTimeout {
 			continue
@@ -253,6 +261,7 @@
 	changed := m.core.ApplyRecords(records, state.GetInstance())
 	if state.GetComplete() {
 		m.mutex.Lock()
+		m.coveredAt = time.Now()
 		for topic, end := range reportedEnds(state) {
 			if m.held[topic].Before(end) {
 				m.held[topic] = end
@@ -271,7 +280,7 @@
 // ForwardRecords sends records that were read from the store without waiting for the next
 // interval if this instance forwards them at once.
 func (m *Membership) ForwardRecords() {
-	if role, small := m.ReaderRole(); small || role != Checker {
+	if role, small := m.ReaderRole(); small || role >= LocalReader {
 		m.Broadcast()
 	}
 }
--- a/router/entries/dissemination_test.go
+++ b/router/entries/dissemination_test.go
@@ -256,3 +256,30 @@
 	c.Assert(other.core.End(fleet.OperatorTopic), qt.Equals, fleet.Position{})
 	c.Assert(time.Since(other.core.ConfirmedAt()) < 2*time.Second, qt.IsTrue)
 }
+
+// An instance to which no complete messages come reads the store more often.
+func TestInstanceWithoutReadersReadsItself(t *testing.T) {
+	synctest.Test(t, instanceWithoutReadersReadsItself)
+}
+
+func instanceWithoutReadersReadsItself(t *testing.T) {
+	c := qt.New(t)
+	nodes := newFleet(t, 12)
+	role := func() ReaderRole {
+		role, _ := nodes[7].membership.ReaderRole()
+		return role
+	}
+	c.Assert(role(), qt.Equals, Uncovered)
+	exchange(c, nodes, func(int, int) bool { return false })
+	exchange(c, nodes, func(int, int) bool { return false })
+	c.Assert(role(), qt.Equals, Checker)
+	for range 8 { // Others still send, but none that covers the store.
+		time.Sleep(stateInterval)
+		for i := range 12 {
+			if i != 7 {
+				nodes[7].membership.applyState(&peer.EntryUpdate{Instance: instance(i).Name, Incarnation: 1}, &inbound{})
+			}
+		}
+	}
+	c.Assert(role(), qt.Equals, Uncovered)
+}
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -91,7 +91,8 @@
 	groups   admission.GroupReport // This instance's report as the leader; empty otherwise.
 	members  map[string]*member
 	// held holds the positions up to which complete messages of others cover the topics.
-	held map[fleet.Topic]fleet.Position
+	held      map[fleet.Topic]fleet.Position
+	coveredAt time.Time // When the last complete message arrived.
 
 	loads ownLoads
 }
