--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the driver of the scripts: the store, the replicas and the callers that they use.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p review/bin
+go build -o review/bin/driver review/driver/*.go
