Review case 2: a stopping router takes streams that it then cuts off

Cause: it takes requests for 0.45 of the grace period, 3.6 s, and cuts what is left after 7.7 s; only requests sent up to 3 s after the SIGTERM may be cut. Adds the case's script.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -15,6 +15,7 @@
 
 var scenarios = map[string]scenario{
 	"crash-hang": crashHang,
+	"shutdown":   shutdown,
 }
 
 func main() {
