--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -16,6 +16,7 @@
 var scenarios = map[string]scenario{
 	"crash-hang": crashHang,
 	"shutdown":   shutdown,
+	"refused":    refusedAfterRun,
 }
 
 func main() {
