--- a/review/driver/crash.go
+++ b/review/driver/crash.go
@@ -9,23 +9,24 @@
 	"chervilswitch.example/platform/platformtest"
 )
 
-// crashHang lets one of six replicas crash while it works on requests. It breaks the rule
-// if, of the requests that have no answer at their route's timeout, more than half have none
-// half a second later.
+// crashHang lets one of six replicas crash while it works on requests, three times in turn.
+// It breaks the rule if, of the requests that have no answer at their route's timeout, more
+// than half have none half a second later.
 func crashHang(r *recorder, trouble bool) (string, error) {
 	const (
 		routers, replicas, slots = 4, 6, 12
-		callersEach              = 10 // At each router.
-		workTime                 = 150 * time.Millisecond
+		callersEach              = 16 // At each router.
+		workTime                 = 300 * time.Millisecond
 		routeTimeout             = 2 * time.Second
 		answerSlack              = 500 * time.Millisecond
 		patience                 = 6 * time.Second
-		playTime                 = 15 * time.Second
-		crashAfter, downTime     = 4 * time.Second, 4 * time.Second
+		playTime                 = 26 * time.Second
+		crashes                  = 3
+		crashAfter, downTime     = 3 * time.Second, 4 * time.Second
 		service                  = "order-desk"
 	)
 	configuration := platformtest.Configuration(1, []platformtest.Route{
-		{Prefix: "/status/", Kind: "safe", Service: service, Attempts: 2, Timeout: routeTimeout, Objective: 300 * time.Millisecond},
+		{Prefix: "/status/", Kind: "safe", Service: service, Attempts: 2, Timeout: routeTimeout, Objective: 500 * time.Millisecond},
 	}, map[string]string{key: organisation})
 	d, store, err := newDeployment(r, trouble, configuration)
 	if err != nil {
@@ -79,14 +80,14 @@
 			})
 		}
 	}
-	if trouble {
+	for n := 0; trouble && n < crashes; n++ {
 		time.Sleep(crashAfter)
-		replica := d.replicas[0]
+		replica := d.replicas[n]
 		r.log("%s crashes", replica.ID)
 		replica.Crash()
 		time.Sleep(downTime)
 		replica.Restart()
-		d.register(replica, service, "zone-a", slots)
+		d.register(replica, service, fmt.Sprintf("zone-%c", 'a'+n%3), slots)
 		r.log("%s is back", replica.ID)
 	}
 	group.Wait()
