--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -17,6 +17,7 @@
 	"crash-hang": crashHang,
 	"shutdown":   shutdown,
 	"refused":    refusedAfterRun,
+	"unsigned":   unsigned,
 }
 
 func main() {
