Review case 5: after a restart of all routers cold replicas get too many requests

Cause: a router that has just started takes the whole cold rate of each target until it has heard of the others.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -18,7 +18,7 @@
 	"shutdown":   shutdown,
 	"refused":    refusedAfterRun,
 	"unsigned":   unsigned,
-	"revoked":    revokedKey,
+	"cold":       coldRestart,
 }
 
 func main() {
