--- a/review/build.sh
+++ b/review/build.sh
@@ -2,5 +2,5 @@
 # Builds the driver of the scripts: the store, the replicas and the callers that they use.
 set -e
 cd "$(dirname "$0")/.."
-mkdir -p review/bin
-go build -o review/bin/driver review/driver/*.go
+mkdir -p target
+go build -o target/review-driver review/driver/*.go
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -10,6 +10,12 @@
 	"time"
 )
 
+// The second argument says whether the disruption takes place.
+const (
+	withDisruption    = "with"
+	withoutDisruption = "without"
+)
+
 // scenario runs a case and returns how the rule was broken; empty if it held.
 type scenario func(r *recorder, trouble bool) (broken string, err error)
 
@@ -26,8 +32,8 @@
 }
 
 func run() int {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: driver CASE RECORD")
+	if len(os.Args) != 4 || os.Args[2] != withDisruption && os.Args[2] != withoutDisruption {
+		fmt.Fprintln(os.Stderr, "usage: driver CASE with|without RECORD")
 		return 2
 	}
 	play, ok := scenarios[os.Args[1]]
@@ -35,14 +41,15 @@
 		fmt.Fprintf(os.Stderr, "driver: case %q does not exist\n", os.Args[1])
 		return 2
 	}
-	file, err := os.Create(os.Args[2])
+	file, err := os.Create(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "driver:", err)
 		return 2
 	}
 	defer file.Close()
 	r := &recorder{file: file, began: time.Now()}
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[2] == withDisruption
+	r.log("case %s, %s the disruption", os.Args[1], os.Args[2])
 	broken, err := play(r, trouble)
 	switch {
 	case err != nil:
