Call out of the core, and into it, without holding another lock

Cause: the core called QuarantineChanged and TargetLimitChanged with its mutex held, and these take the membership's in Broadcast; the membership held its own while stateFor asked the core for the end of a topic.

Change: calls that are due are collected and made once the mutex is released; the membership asks the core before it locks; the counts of running requests are read without a lock. The core's mutex is now always the last one, so no cycle can form.

--- a/router/core/core.go
+++ b/router/core/core.go
@@ -60,14 +60,19 @@
 	DataCentre  string
 	RetryBudget admission.RetryBudget
 	Logger      log.Interface
-	// QuarantineChanged is called, while the core is locked, when the evidence of crashes
-	// changes.
+	// QuarantineChanged is called when the evidence of crashes changes. It may use the core.
 	QuarantineChanged func(admission.QuarantineChanged)
-	// TargetLimitChanged is called, while the core is locked, when this instance learns
-	// from a response that a target's limit has changed.
+	// TargetLimitChanged is called when this instance learns from a response that a target's
+	// limit has changed. It may use the core.
 	TargetLimitChanged func()
 }
 
+// notifications are the calls of functions in Options that are due.
+type notifications struct {
+	quarantine   []admission.QuarantineChanged
+	targetLimits bool
+}
+
 // Decisions delivers the decisions on one request.
 type Decisions struct {
 	// Next receives each Dispatch and Refuse of the request.
@@ -82,12 +87,15 @@
 	moveRequested chan struct{}
 }
 
-// Core is an instance's control state. Its methods are safe for concurrent use.
+// Core is an instance's control state. Its methods are safe for concurrent use. It calls the
+// functions of its options without holding its mutex, so callers may hold locks of their own
+// that these functions do not take.
 type Core struct {
 	options Options
 	view    atomic.Pointer[fleet.View]
 
 	mutex     sync.Mutex
+	due       notifications
 	admission *admission.State
 	directory *fleet.Directory
 	// changes holds, by topic and key, the last record that changed anything except a
@@ -137,7 +145,7 @@
 // Submit requests a target. It assigns the request's ID; decisions arrive until Finish.
 func (c *Core) Submit(r admission.Request) (admission.RequestID, Decisions) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	defer c.unlock()
 	c.next++
 	r.ID = c.next
 	senders := decisionSenders{next: make(chan admission.Effect, decisionBuffer), moveRequested: make(chan struct{}, 1)}
@@ -149,7 +157,7 @@
 // Finish ends a request, which receives no further decisions.
 func (c *Core) Finish(id admission.RequestID) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	defer c.unlock()
 	delete(c.requests, id)
 	c.reduce(time.Now(), admission.Finish{ID: id})
 }
@@ -157,7 +165,7 @@
 // HandleEvent passes an event to the reducer and sends the resulting decisions.
 func (c *Core) HandleEvent(e admission.Event) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	defer c.unlock()
 	c.reduce(time.Now(), e)
 }
 
@@ -165,7 +173,7 @@
 // after restoreGrace, and refuses requests that have waited too long.
 func (c *Core) Tick() {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	defer c.unlock()
 	now := time.Now()
 	for id, until := range c.expired {
 		if now.After(until) {
@@ -184,7 +192,23 @@
 	c.reduce(now, admission.Tick{})
 }
 
-// reduce applies an event and sends the resulting decisions to their requests.
+// unlock releases the mutex and then makes the calls that are due.
+func (c *Core) unlock() {
+	due := c.due
+	c.due = notifications{}
+	c.mutex.Unlock()
+	for _, change := range due.quarantine {
+		if c.options.QuarantineChanged != nil {
+			c.options.QuarantineChanged(change)
+		}
+	}
+	if due.targetLimits && c.options.TargetLimitChanged != nil {
+		c.options.TargetLimitChanged()
+	}
+}
+
+// reduce applies an event and sends the resulting decisions to their requests. The mutex
+// must be held, and released with unlock.
 func (c *Core) reduce(now time.Time, e admission.Event) {
 	for _, effect := range c.admission.Reduce(now, e) {
 		var id admission.RequestID
@@ -200,18 +224,14 @@
 			continue
 		case admission.QuarantineChanged:
 			c.logQuarantine(now, d)
-			if c.options.QuarantineChanged != nil {
-				c.options.QuarantineChanged(d)
-			}
+			c.due.quarantine = append(c.due.quarantine, d)
 			continue
 		case admission.TargetNoticed:
 			c.logNotice(now, d)
 			continue
 		case admission.TargetLimitChanged:
 			c.logTargetLimit(now, d)
-			if d.Peer == "" && c.options.TargetLimitChanged != nil {
-				c.options.TargetLimitChanged()
-			}
+			c.due.targetLimits = c.due.targetLimits || d.Peer == ""
 			continue
 		}
 		if senders, ok := c.requests[id]; ok {
@@ -368,7 +388,7 @@
 // except a heartbeat changed.
 func (c *Core) ApplyRecords(records []fleet.Record, source string) bool {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	defer c.unlock()
 	for _, r := range records {
 		c.observeEra(r.Position.Era)
 		if source == SourceStore {
@@ -396,7 +416,7 @@
 // ApplyTopicListing applies a listing of the newest records of all keys in a topic.
 func (c *Core) ApplyTopicListing(topic fleet.Topic, l platform.Listing) {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	defer c.unlock()
 	c.observeEra(l.End.Era)
 	c.logIgnored(l.Records, SourceStore)
 	c.applyNewRecords(c.directory.ApplyListing(topic, l.Records, l.End), "listing")
--- a/router/entries/dissemination.go
+++ b/router/entries/dissemination.go
@@ -127,17 +127,28 @@
 	running map[string]int32 // It is replaced, not changed.
 }
 
-// get returns the numbers by target, at most loadsAge old.
+// get returns the numbers by target. If they are older than loadsAge, it reads new ones,
+// while other callers get the old ones.
 func (l *ownLoads) get(read func() map[string]int) map[string]int32 {
+	now := time.Now()
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if now := time.Now(); now.Sub(l.at) > loadsAge {
-		l.at, l.running = now, make(map[string]int32)
-		for target, running := range read() {
-			l.running[target] = int32(running)
-		}
+	running := l.running
+	outdated := running == nil || now.Sub(l.at) > loadsAge
+	if outdated {
+		l.at = now
+	}
+	l.mutex.Unlock()
+	if !outdated {
+		return running
 	}
-	return l.running
+	running = make(map[string]int32)
+	for target, count := range read() {
+		running[target] = int32(count)
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.running = running
+	return running
 }
 
 // stateFor returns the state message for an instance. After the instance's first message,
@@ -145,10 +156,11 @@
 // it lacks. The first message on a link holds all loads and the registration, later ones
 // what has changed.
 func (m *Membership) stateFor(mb *member) *peer.EntryUpdate {
+	operators, targets := m.core.End(fleet.OperatorTopic), m.core.End(fleet.TargetTopic)
 	m.mutex.Lock()
 	theirs, received := maps.Clone(mb.ends), !mb.received.IsZero()
 	stopping, groups, delays := m.stopping, m.groups, m.forwardDelays(mb)
-	operators, targets := m.end(fleet.OperatorTopic), m.end(fleet.TargetTopic)
+	operators, targets = m.latestEnd(fleet.OperatorTopic, operators), m.latestEnd(fleet.TargetTopic, targets)
 	configuration, takesChanges := mb.configuration, mb.takesChanges
 	m.mutex.Unlock()
 	state := &peer.EntryUpdate{
@@ -230,10 +242,9 @@
 	}
 }
 
-// end returns the position up to which this instance knows a topic, from the store or from
-// others.
-func (m *Membership) end(topic fleet.Topic) fleet.Position {
-	end := m.core.End(topic)
+// latestEnd returns the position up to which this instance knows a topic that it has read
+// from the store up to an end. The mutex must be held.
+func (m *Membership) latestEnd(topic fleet.Topic, end fleet.Position) fleet.Position {
 	if held := m.held[topic]; end.Before(held) {
 		return held
 	}
--- a/router/entries/dissemination_test.go
+++ b/router/entries/dissemination_test.go
@@ -252,7 +252,7 @@
 	exchange(c, nodes, nobody)
 	other := nodes[7]
 	c.Assert(other.core.ConfigurationVersion(), qt.Equals, uint64(2))
-	c.Assert(other.membership.end(fleet.OperatorTopic), qt.Equals, fleet.Position{Era: 1, Offset: 6})
+	c.Assert(other.membership.latestEnd(fleet.OperatorTopic, other.core.End(fleet.OperatorTopic)), qt.Equals, fleet.Position{Era: 1, Offset: 6})
 	c.Assert(other.core.End(fleet.OperatorTopic), qt.Equals, fleet.Position{})
 	c.Assert(time.Since(other.core.ConfirmedAt()) < 2*time.Second, qt.IsTrue)
 }
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -86,6 +86,7 @@
 	// store.
 	Unable func() bool
 
+	// mutex is not held while the core is called: its callbacks take it.
 	mutex    sync.Mutex
 	stopping bool
 	groups   admission.GroupReport // This instance's report as the leader; empty otherwise.
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -41,6 +41,34 @@
 	return admission.CrashEvidence{}, 0
 }
 
+// lockingCore is an emptyCore whose methods take the lock of a membership, as another
+// goroutine may do that holds the core's.
+type lockingCore struct {
+	emptyCore
+	membership *Membership
+}
+
+func (l *lockingCore) End(fleet.Topic) fleet.Position {
+	l.membership.Broadcast()
+	return fleet.Position{}
+}
+
+// A membership that called the core while it held its own lock, and a core that held its
+// lock while it requested a broadcast, waited for each other for good.
+func TestCoreIsCalledWithoutTheLock(t *testing.T) {
+	const callTimeout = 5 * time.Second
+	state := &lockingCore{}
+	m := NewMembership(t.Context(), fleet.Instance{Name: "entry-a"}, state, &log.Logger{Handler: discard.Default})
+	state.membership = m
+	sent := make(chan *peer.EntryUpdate, 1)
+	go func() { sent <- m.stateFor(&member{}) }()
+	select {
+	case <-sent:
+	case <-time.After(callTimeout):
+		t.Fatal("no state message: the membership is locked while the core is called")
+	}
+}
+
 // newMembership returns the membership of an instance that has applied the state
 // messages of others.
 func newMembership(ctx context.Context, name string, others ...*peer.EntryUpdate) *Membership {
