Forward only what the service of a target has signed

Cause: the signature was decoded, but only the rest of a broken stream was checked for it; whole responses, first responses of streams and final errors were forwarded without it. A signed body with a Content-Encoding, which no service sends here, passed as well.

Change: one check before all ways by which a target's bytes reach a caller. What is neither a refusal that states "not run" nor signed and unencoded is a failed attempt: 502 for a request that may run once, another target for the others.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -22,7 +22,8 @@
 var (
 	errBodyTooLong  = errors.New("body of an error response exceeds the maximum of 256 KiB")
 	errContradicted = errors.New("other bytes follow the response that states that the request has not run")
-	errNoStream     = errors.New("response does not continue the stream, expected a signed event stream with status 200")
+	errNoStream     = errors.New("response does not continue the stream, expected an event stream with status 200")
+	errForeign      = errors.New("response is not from the target's service, expected a signature and a body without encoding")
 )
 
 // idleCloseTime is the time within which a target resets a request that is sent on a
@@ -73,6 +74,8 @@
 	switch {
 	case response.Headers.NotRun:
 		return a.handleNotRun(ctx, response)
+	case !response.Headers.IsFromService():
+		return a.retryOrEnd(ctx, admission.Failed, true, errForeign)
 	case response.StatusCode >= http.StatusInternalServerError:
 		return a.handleServerError(ctx, response)
 	case a.started && !continuesStream(response):
@@ -84,11 +87,11 @@
 	}
 }
 
-// continuesStream reports whether a response may hold the rest of a stream. An empty rest
-// ends the stream, so only the target's service may send one.
+// continuesStream reports whether a response of the target's service may hold the rest of a
+// stream.
 func continuesStream(response *target.Response) bool {
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream" && response.StatusCode == http.StatusOK && response.Headers.Signed
+	return err == nil && mediaType == "text/event-stream" && response.StatusCode == http.StatusOK
 }
 
 // reportHead reports the limit that the target's response names, and which requests the
