Start only what can finish while a router stops, and answer what is left

Cause: a stopping router took all requests for 0.45 of the grace period, whatever time they were allowed, and closed every connection at the end.

At the end, what has no response yet gets 502, or 503 if it has not run.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -253,8 +253,8 @@
 		outcome = admission.Moved
 	default:
 		a.mayHaveRun = a.mayHaveRun || attemptMayHaveRun
-		a.reportOutcome(admission.Good, nil) // The caller disconnected or the deadline passed.
-		a.expire()
+		a.reportOutcome(admission.Good, nil) // The caller disconnected, the deadline passed, or the instance stops.
+		a.expire(ctx)
 		return true
 	}
 	a.reportOutcome(outcome, cause)
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -90,8 +90,15 @@
 		timeout = min(timeout, left)
 	}
 	x.deadline = x.began.Add(timeout)
+	if !x.mayStart() {
+		x.refuse(stoppingRetryAfter, "stopping")
+		return
+	}
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(x.router.requests, func() { end(errStopping) })()
 	controller := http.NewResponseController(x.writer)
 	if controller.SetWriteDeadline(x.deadline.Add(writeGrace)) == nil {
 		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }() // The connection serves other requests.
@@ -105,7 +112,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			x.expire()
+			x.expire(ctx)
 			return
 		case effect := <-x.decisions.Next:
 			switch decision := effect.(type) {
@@ -113,6 +120,10 @@
 				x.handleRefusal(decision)
 				return
 			case admission.Dispatch:
+				if !x.mayStart() {
+					x.refuse(stoppingRetryAfter, "stopping")
+					return
+				}
 				if x.attempt(ctx, decision) {
 					return
 				}
@@ -145,18 +156,23 @@
 	}
 }
 
-// expire ends a request whose caller has disconnected or whose deadline has passed.
-func (x *exchange) expire() {
+// expire ends a request whose context has ended: its caller has disconnected, its deadline
+// has passed, or the instance stops.
+func (x *exchange) expire(ctx context.Context) {
+	status, reason, retryAfter := http.StatusGatewayTimeout, "timeout", defaultRetryAfter
+	if errors.Is(context.Cause(ctx), errStopping) {
+		status, reason, retryAfter = http.StatusBadGateway, "stopping", stoppingRetryAfter
+	}
 	switch {
 	case x.request.Context().Err() != nil:
 		x.outcome = "callerLeft"
 		panic(http.ErrAbortHandler)
 	case x.started:
-		x.abort("timeout")
+		x.abort(reason)
 	case x.mayHaveRun:
-		x.fail(http.StatusGatewayTimeout, "timeout")
+		x.fail(status, reason)
 	default:
-		x.refuse(defaultRetryAfter, "timeout")
+		x.refuse(retryAfter, reason)
 	}
 }
 
--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -39,7 +39,7 @@
 		router: r, writer: w, request: request, headers: headers, began: began,
 		logger: r.logger.WithField("request", headers.Attempt),
 	}
-	if r.stopping.Load() {
+	if r.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	defer x.recordEnd()
@@ -141,7 +141,7 @@
 // unreadyReason returns why this instance accepts no callers, or an empty string.
 func (r *Router) unreadyReason() string {
 	switch {
-	case r.stopping.Load():
+	case r.isStopping():
 		return "stopping"
 	case r.core.View().Configuration == nil:
 		return "no configuration yet"
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -47,11 +47,6 @@
 	trimInterval = 2 * time.Second
 	// summaryInterval is how often limits and queues are logged.
 	summaryInterval = 5 * time.Second
-	// acceptShare is the fraction of the grace period in which a stopping instance
-	// still accepts requests, since callers cache its address.
-	acceptShare = 0.45
-	// closeMargin is reserved at the end of the grace period to close connections.
-	closeMargin = 300 * time.Millisecond
 	// registerRetryInterval is the pause between two attempts to register.
 	registerRetryInterval = 500 * time.Millisecond
 )
@@ -61,16 +56,20 @@
 	options Options
 	// current holds the settings in force after reloads; the listen addresses and names
 	// in options do not change.
-	current  atomic.Pointer[Options]
-	logger   log.Interface
-	core     *core.Core
-	entries  *entries.Membership
-	pool     target.Pool
-	metrics  metrics
-	store    *platform.Store
-	self     fleet.Instance
-	crashes  crashStore
-	stopping atomic.Bool
+	current atomic.Pointer[Options]
+	logger  log.Interface
+	core    *core.Core
+	entries *entries.Membership
+	pool    target.Pool
+	metrics metrics
+	store   *platform.Store
+	self    fleet.Instance
+	crashes crashStore
+	// stop is the planned stop that has begun, or nil.
+	stop atomic.Pointer[plannedStop]
+	// requests bounds all requests of callers; endRequests ends those in flight.
+	requests    context.Context
+	endRequests context.CancelFunc
 	// lifetime bounds all work, also that of the grace period; cancelLifetime ends it.
 	lifetime       context.Context
 	cancelLifetime context.CancelFunc
@@ -103,6 +102,7 @@
 	}
 	r.current.Store(&options)
 	r.lifetime, r.cancelLifetime = context.WithCancel(context.Background())
+	r.requests, r.endRequests = context.WithCancel(r.lifetime)
 	r.entries = entries.NewMembership(r.lifetime, r.self, r.core, logger)
 	return r
 }
@@ -221,7 +221,7 @@
 // copy may hold the registration of an earlier start, or from before the instance stops.
 func (r *Router) rewriteEntryRecords(listed []fleet.Record) {
 	self := r.self
-	self.Stopping = r.stopping.Load()
+	self.Stopping = r.isStopping()
 	if !slices.ContainsFunc(listed, func(record fleet.Record) bool {
 		i, err := decodeInstance(record)
 		return err == nil && i == self
@@ -339,23 +339,3 @@
 		ReadHeaderTimeout: settings.HeaderTimeout, ErrorLog: stdlog.New(serverLog{r.logger}, "", 0),
 	}
 }
-
-// shutdown accepts requests for a part of the grace period, then closes the listener for
-// callers and waits for the requests in flight.
-func (r *Router) shutdown(callers *http.Server) error {
-	grace := time.Duration(r.current.Load().GracePeriod)
-	began := time.Now()
-	events.Log(r.logger, events.Stopping, log.Fields{"grace": grace.String()})
-	r.stopping.Store(true)
-	r.entries.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), grace-closeMargin)
-	defer cancel()
-	go r.publishRegistration(ctx, true)
-	accept := time.NewTimer(time.Duration(acceptShare * float64(grace)))
-	defer accept.Stop()
-	<-accept.C
-	if err := callers.Shutdown(ctx); err != nil {
-		events.Log(r.logger, events.RequestFailed, log.Fields{"error": err.Error(), "after": time.Since(began).String()})
-	}
-	return nil
-}
