Pass on no 429 and 408 of a target that may have run the request

Cause: only 503 was known as such a promise, since attempts looked at statuses from 500 on.

Change: claimsNotRun names 503, 429, 408 and 421; without the target's statement they count as a failed attempt, and callers get 502 or another target's answer.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -76,8 +76,8 @@
 		return a.handleNotRun(ctx, response)
 	case !response.Headers.IsFromService():
 		return a.retryOrEnd(ctx, admission.Failed, true, errForeign)
-	case response.StatusCode >= http.StatusInternalServerError:
-		return a.handleServerError(ctx, response)
+	case response.StatusCode >= http.StatusInternalServerError, claimsNotRun(response.StatusCode):
+		return a.handleFailure(ctx, response)
 	case a.started && !continuesStream(response):
 		return a.retryOrEnd(ctx, admission.Failed, true, errNoStream)
 	case a.route.Kind == fleet.Stream && response.StatusCode == http.StatusOK:
@@ -130,10 +130,22 @@
 	return a.retryOrEnd(ctx, outcome, false, nil)
 }
 
-// handleServerError handles a response with a 5xx status. A repeatable request is
-// retried while attempts are left. Otherwise the response is forwarded, unless its status
-// is 503 or the response to the caller has already started.
-func (a *attempt) handleServerError(ctx context.Context, response *target.Response) bool {
+// claimsNotRun reports whether a status tells callers that the request has not run and
+// never will. Targets state this in a header; without it the request may have run.
+func claimsNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// handleFailure handles a response of a target that failed to serve the request, which may
+// have run. A repeatable request is retried while attempts are left. Otherwise the response
+// is forwarded, unless it claims that the request has not run or the response to the caller
+// has already started.
+func (a *attempt) handleFailure(ctx context.Context, response *target.Response) bool {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err == nil && len(body) > maxBufferedBytes {
 		err = errBodyTooLong
@@ -141,9 +153,7 @@
 	if err != nil {
 		return a.retryOrEnd(ctx, admission.Broken, true, err)
 	}
-	claimsNotRun := response.StatusCode == http.StatusServiceUnavailable
-	if a.route.Repeatable() && a.attempts < a.route.MaxAttempts || a.started || claimsNotRun {
-		// To the caller a 503 means that the request has not run, but it may have.
+	if a.route.Repeatable() && a.attempts < a.route.MaxAttempts || a.started || claimsNotRun(response.StatusCode) {
 		return a.retryOrEnd(ctx, admission.Failed, true, nil)
 	}
 	a.reportOutcome(admission.Failed, nil)
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -251,6 +251,12 @@
 		"service unavailable": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
 			w.WriteResponse(http.StatusServiceUnavailable, "busy")
 		},
+		"too many requests": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			w.WriteResponse(http.StatusTooManyRequests, "busy")
+		},
+		"request timeout": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			w.WriteResponse(http.StatusRequestTimeout, "late")
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := deploy(t, 1, map[string]platformtest.Handler{"i-1": handler, "i-2": handler})
