Refuse all that may outlast a planned stop, also what callers can resume

Cause: streams that were taken in the first 0.35 of the grace period could still be cut at its end.

Change: a request starts only if its deadline is before the end of the stop, whatever its kind.

--- a/router/caller/shutdown.go
+++ b/router/caller/shutdown.go
@@ -15,10 +15,6 @@
 	// listenShare is the fraction of the grace period in which a stopping instance still
 	// accepts connections, since callers cache its address.
 	listenShare = 0.45
-	// openShare is the fraction of the grace period in which a stopping instance still
-	// starts requests that may outlast it, if callers can repeat or resume them. Refused
-	// callers may choose this instance again until they ask for addresses once more.
-	openShare = 0.35
 	// answerMargin is reserved at the end of the grace period to answer the requests that
 	// are still in flight, and closeMargin of it to close connections.
 	answerMargin = 400 * time.Millisecond
@@ -36,25 +32,18 @@
 	grace time.Duration
 }
 
-// listenEnd is when the instance stops to accept connections, and openEnd when it stops to
-// start requests that may outlast it.
-func (p plannedStop) listenEnd() time.Time { return p.at(listenShare) }
-func (p plannedStop) openEnd() time.Time   { return p.at(openShare) }
-
-func (p plannedStop) at(share float64) time.Time {
-	return p.began.Add(time.Duration(share * float64(p.grace)))
+// listenEnd is when the instance stops to accept connections.
+func (p plannedStop) listenEnd() time.Time {
+	return p.began.Add(time.Duration(listenShare * float64(p.grace)))
 }
 
 // answerEnd is when requests in flight are answered, and closeEnd when connections close.
 func (p plannedStop) answerEnd() time.Time { return p.began.Add(p.grace - answerMargin) }
 func (p plannedStop) closeEnd() time.Time  { return p.began.Add(p.grace - closeMargin) }
 
-// mayStart reports whether a request that no target has received may be sent to one. It
-// must be able to finish: its deadline is before answerEnd. One that callers can repeat or
-// resume if it is cut off also starts until openEnd.
-func (p plannedStop) mayStart(now, deadline time.Time, repeatable bool) bool {
-	return !deadline.After(p.answerEnd()) || repeatable && now.Before(p.openEnd())
-}
+// mayStart reports whether a request that no target has received may be sent to one: it
+// must be able to finish, so its deadline is at answerEnd at the latest.
+func (p plannedStop) mayStart(deadline time.Time) bool { return !deadline.After(p.answerEnd()) }
 
 // isStopping reports whether a planned stop has begun.
 func (r *Router) isStopping() bool { return r.stop.Load() != nil }
@@ -84,5 +73,5 @@
 // plannedStop.mayStart. Later attempts go on: the request may have run.
 func (x *exchange) mayStart() bool {
 	stop := x.router.stop.Load()
-	return stop == nil || x.started || x.mayHaveRun || stop.mayStart(time.Now(), x.deadline, x.route.Repeatable())
+	return stop == nil || x.started || x.mayHaveRun || stop.mayStart(x.deadline)
 }
--- a/router/caller/shutdown_test.go
+++ b/router/caller/shutdown_test.go
@@ -13,30 +13,24 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// A request that is started while the instance stops must be able to finish. Callers can
-// repeat or resume the others that start in the first 0.35 of the grace period.
+// A request that starts while the instance stops must be able to finish, whatever its kind.
 func TestStoppingInstanceStartsWhatCanFinish(t *testing.T) {
 	began := time.Now()
 	stop := plannedStop{began: began, grace: 8 * time.Second}
 	for name, test := range map[string]struct {
 		after, left time.Duration
-		repeatable  bool
 		starts      bool
 	}{
-		"short":                      {after: 0, left: time.Second, starts: true},
+		"short":                      {left: time.Second, starts: true},
 		"short, late":                {after: 6 * time.Second, left: time.Second, starts: true},
 		"short, too late":            {after: 7 * time.Second, left: time.Second},
-		"short, repeatable, late":    {after: 7 * time.Second, left: time.Second, repeatable: true},
-		"long":                       {after: 0, left: 8 * time.Second},
-		"long, repeatable":           {after: 2700 * time.Millisecond, left: 8 * time.Second, repeatable: true, starts: true},
-		"long, repeatable, late":     {after: 2900 * time.Millisecond, left: 8 * time.Second, repeatable: true},
+		"long":                       {left: 8 * time.Second},
+		"long, just short enough":    {after: time.Second, left: 6600 * time.Millisecond, starts: true},
 		"after the end":              {after: 8 * time.Second, left: time.Millisecond},
-		"repeatable after the end":   {after: 8 * time.Second, left: time.Millisecond, repeatable: true},
 		"just before the answer end": {after: 7500 * time.Millisecond, left: 90 * time.Millisecond, starts: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			now := began.Add(test.after)
-			qt.Assert(t, stop.mayStart(now, now.Add(test.left), test.repeatable), qt.Equals, test.starts)
+			qt.Assert(t, stop.mayStart(began.Add(test.after+test.left)), qt.Equals, test.starts)
 		})
 	}
 }
@@ -69,7 +63,7 @@
 	}
 	d.Assert(send(kept, platformtest.Call{Path: nonIdempotentPath, Attempt: "before"}).status, qt.Equals, http.StatusOK)
 	d.stopWithin(grace)
-	time.Sleep(time.Until(d.routers[0].stop.Load().openEnd().Add(50 * time.Millisecond)))
+	time.Sleep(grace / 4)
 	for name, client := range map[string]*http.Client{"kept": kept, "new": {Transport: &http.Transport{DisableCompression: true}}} {
 		for _, path := range []string{nonIdempotentPath, streamPath} {
 			a := send(client, platformtest.Call{Path: path, Attempt: name + path, Body: "long"})
