Round the wait for a token up

Change: the wait is rounded up, so that it is 0 only with a whole token.

Measured: TestNearlyWholeTokenIsNone failed before and holds now.

--- a/shared/admission/rate.go
+++ b/shared/admission/rate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// burstShare is the fraction of what a rateBound allows above the rate that may be
@@ -82,5 +85,6 @@
 	if r.tokens.tokens >= 1 {
 		return 0
 	}
-	return time.Duration((1 - r.tokens.tokens) / r.perSecond * float64(time.Second))
+	// Rounded up: a wait of 0 without a whole token would not take any.
+	return time.Duration(math.Ceil((1 - r.tokens.tokens) / r.perSecond * float64(time.Second)))
 }
--- a/shared/admission/rate_test.go
+++ b/shared/admission/rate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -91,6 +92,15 @@
 	return most
 }
 
+// A token that is not quite whole, by the rounding of a sum, let any number of requests of the
+// same moment pass: none of them took it.
+func TestNearlyWholeTokenIsNone(t *testing.T) {
+	at := time.Unix(50, 0)
+	r := rateShare{tokens: tokenBucket{tokens: math.Nextafter(1, 0), at: at}, rate: 15, perSecond: 1.25}
+	qt.Assert(t, r.wait(at) > 0, qt.IsTrue)
+	qt.Assert(t, r.wait(at.Add(time.Microsecond)), qt.Equals, time.Duration(0))
+}
+
 const (
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
