Hold no share of a rate before the other instances are known

Cause: a router that starts took itself for the only one until a tick after the registrations were listed, and gave itself the whole rate of each target.

Change: the instances are unknown until the registrations are listed, or for 1 s; until then there is no share, and the router is not ready.

--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -147,6 +147,8 @@
 		return "no configuration yet"
 	case len(r.core.View().Targets) == 0:
 		return "no targets yet"
+	case !r.entries.Known():
+		return "other entry instances not listed yet"
 	default:
 		return ""
 	}
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -189,7 +189,7 @@
 }
 
 // registerEntries applies registrations of entry instances, and the crashes that they have
-// reported.
+// reported. The first records are those of a listing.
 func (r *Router) registerEntries(records []fleet.Record) {
 	for _, record := range records {
 		if strings.HasPrefix(record.Key, crashKeyPrefix) {
@@ -206,6 +206,7 @@
 		}
 		r.entries.Register(i)
 	}
+	r.entries.Listed()
 }
 
 // decodeInstance decodes the registration of an entry instance.
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilswitch.example/router/core"
@@ -31,6 +32,9 @@
 	// expireAfter is how long an instance counts towards shared limits after its
 	// registration or its last state message.
 	expireAfter = 15 * time.Second
+	// learnTime is how long after its start an instance waits for the list of the others. Live
+	// ones have connected by then, so that it can start while the store is unavailable.
+	learnTime = time.Second
 	// redialPause is the pause between two attempts to connect.
 	redialPause = 500 * time.Millisecond
 )
@@ -95,6 +99,12 @@
 	held      map[fleet.Topic]fleet.Position
 	coveredAt time.Time // When the last complete message arrived.
 
+	// listed is closed when the registrations have been listed once. Use Listed to close it.
+	listed     chan struct{}
+	listedOnce sync.Once
+	// known reports whether the core knows the instances that share limits.
+	known atomic.Bool
+
 	loads ownLoads
 }
 
@@ -125,6 +135,7 @@
 	}
 	return &Membership{
 		ctx: ctx, self: self, registration: registration, core: state, logger: logger,
+		listed:  make(chan struct{}),
 		members: make(map[string]*member), held: make(map[fleet.Topic]fleet.Position), Duty: func() uint64 { return 0 }, Unable: func() bool { return false },
 	}
 }
@@ -155,6 +166,12 @@
 	go m.sendLoop(link, mb)
 }
 
+// Listed records that all registrations in the store have been passed to Register.
+func (m *Membership) Listed() { m.listedOnce.Do(func() { close(m.listed) }) }
+
+// Known reports whether this instance knows the others that it shares limits with.
+func (m *Membership) Known() bool { return m.known.Load() }
+
 // Stop notifies the other instances that this one accepts no new callers.
 func (m *Membership) Stop() {
 	m.mutex.Lock()
@@ -426,17 +443,21 @@
 }
 
 // Watch sends a PeerLost event to the core when the state messages of an instance stop,
-// and updates the instances that share limits, until the context ends.
+// and updates the instances that share limits, until the context ends. They are known once
+// the registrations have been listed, or after learnTime.
 func (m *Membership) Watch(ctx context.Context) {
 	ticker := time.NewTicker(stateInterval)
 	defer ticker.Stop()
 	timedOut := make(map[string]bool)
 	var sharing []string
 	reading := Reader // An instance that knows no others reads.
+	listed, started := m.listed, time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-listed:
+			listed = nil
 		case <-ticker.C:
 		}
 		m.mutex.Lock()
@@ -460,10 +481,12 @@
 			reading = role
 			events.Log(m.logger, events.EntriesChanged, log.Fields{"state": "reading", "role": role.String(), "small": small})
 		}
-		if !slices.Equal(names, sharing) {
+		known := listed == nil || now.Sub(started) > learnTime
+		if known && !slices.Equal(names, sharing) {
 			sharing = names
 			events.Log(m.logger, events.EntriesChanged, log.Fields{"state": "sharing", "count": len(names)})
 			m.core.HandleEvent(admission.EntryInstances{Names: names})
+			m.known.Store(true)
 		}
 	}
 }
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"chervilswitch.example/router/core"
@@ -69,6 +70,54 @@
 	}
 }
 
+// sharingCore is an emptyCore that keeps the instances that share limits.
+type sharingCore struct {
+	emptyCore
+	sharing chan []string
+}
+
+func (s *sharingCore) HandleEvent(e admission.Event) {
+	if instances, ok := e.(admission.EntryInstances); ok {
+		s.sharing <- instances.Names
+	}
+}
+
+// An instance that took itself for the only one until it had heard of the others sent the
+// whole rate of each target. It knows them when they are listed, or have had time to connect.
+func TestInstancesThatShareLimitsAreListedFirst(t *testing.T) {
+	for name, listedAfter := range map[string]time.Duration{"listed": 300 * time.Millisecond, "store unavailable": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				closed, cancelLinks := context.WithCancel(t.Context())
+				cancelLinks() // No links are wanted.
+				state := &sharingCore{sharing: make(chan []string, 8)}
+				m := NewMembership(closed, instance(0), state, &log.Logger{Handler: discard.Default})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				began := time.Now()
+				go m.Watch(ctx)
+				go func() {
+					time.Sleep(min(listedAfter, learnTime/2))
+					m.Register(instance(1))
+					time.Sleep(listedAfter - time.Since(began))
+					m.Listed()
+				}()
+				c.Assert(m.Known(), qt.IsFalse)
+				c.Assert(<-state.sharing, qt.DeepEquals, []string{instance(0).Name, instance(1).Name})
+				if listedAfter < learnTime {
+					c.Assert(time.Since(began), qt.Equals, listedAfter)
+				} else {
+					c.Assert(time.Since(began) <= learnTime+stateInterval, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+				}
+				synctest.Wait()
+				c.Assert(m.Known(), qt.IsTrue)
+				time.Sleep(listedAfter) // The other goroutine ends.
+			})
+		})
+	}
+}
+
 // newMembership returns the membership of an instance that has applied the state
 // messages of others.
 func newMembership(ctx context.Context, name string, others ...*peer.EntryUpdate) *Membership {
--- a/shared/admission/entries.go
+++ b/shared/admission/entries.go
@@ -6,12 +6,16 @@
 type entrySet struct {
 	names    []string // Includes this instance.
 	position int      // Of this instance.
-	// version increases with each change of the names.
+	// version increases with each change of the names. It is 0 until they are known: an
+	// instance that has just started cannot tell its share.
 	version uint64
 }
 
-// newEntrySet returns the set of an instance that knows no others.
-func newEntrySet(self string) entrySet { return entrySet{names: []string{self}, version: 1} }
+// newEntrySet returns the set of an instance that does not know yet whether there are others.
+func newEntrySet(self string) entrySet { return entrySet{names: []string{self}} }
+
+// known reports whether the names have been set.
+func (s *entrySet) known() bool { return s.version > 0 }
 
 // set replaces the names. This instance is always one of them.
 func (s *entrySet) set(names []string) {
@@ -21,7 +25,7 @@
 	if !found {
 		names = slices.Insert(names, at, self)
 	}
-	if slices.Equal(s.names, names) {
+	if s.known() && slices.Equal(s.names, names) {
 		return
 	}
 	s.names, s.position = names, at
--- a/shared/admission/rate.go
+++ b/shared/admission/rate.go
@@ -52,10 +52,11 @@
 }
 
 // update adapts the share to the rate, the entry instances and the targets of the service.
-// The first tokens of the holders are spread over time. A share that moves to this instance
-// later begins without a token, since another one may just have used the one that it had.
+// There is no share until the instances are known. The first tokens of the holders are
+// spread over time. A share that moves to this instance later begins without a token, since
+// another one may just have used the one that it had.
 func (r *rateShare) update(at time.Time, bound rateBound, rate float64, entries *entrySet, s *service, index int) {
-	if r.rate == rate && r.entries == entries.version && r.targets == s.targetsVersion {
+	if !entries.known() || r.rate == rate && r.entries == entries.version && r.targets == s.targetsVersion {
 		return
 	}
 	held, first := r.perSecond > 0, r.rate == 0
