Query engines often only while their rank may be in a switch

Cause: each sidecar asked its engine 50 times a second, so that a completed copy of experts shows soon.

Change: 20 ms between queries for 0.5 s after an order and while a report shows a switch; otherwise the interval that the planner asks for (100 ms, 200 ms for large maps).

--- a/sidecar/rank/sidecar.go
+++ b/sidecar/rank/sidecar.go
@@ -24,9 +24,12 @@
 	// minPollInterval is the shortest pause between queries, whatever interval a
 	// planner requests.
 	minPollInterval = 10 * time.Millisecond
-	// maxPollInterval is the longest pause between queries, so that the sidecar
-	// soon sees that the engine has completed a copy of experts.
-	maxPollInterval = 20 * time.Millisecond
+	// switchPollInterval is the longest pause between queries while the rank may be in a
+	// switch, so that the sidecar soon sees that the engine has completed a copy of experts.
+	switchPollInterval = 20 * time.Millisecond
+	// settleTime is how long after an order a rank may be in a switch that its reports do not
+	// show. A copy of experts takes up to 0.4 s.
+	settleTime = 500 * time.Millisecond
 )
 
 // Sidecar serves planners for one rank. It is safe for concurrent use.
@@ -38,6 +41,8 @@
 	// token is the highest fencing token of the orders received. Checking it protects
 	// engines that ignore fencing tokens. It is lost when the process ends.
 	token uint64
+	// lastOrder is when the last order arrived.
+	lastOrder time.Time
 }
 
 // Run serves planners until the context ends.
@@ -74,6 +79,7 @@
 		return
 	}
 	var report ranks.Report
+	s.noteOrder()
 	err := s.fence(m.GetToken())
 	start := time.Now()
 	if err == nil {
@@ -107,6 +113,25 @@
 	return nil
 }
 
+// noteOrder records that an order has arrived.
+func (s *Sidecar) noteOrder() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lastOrder = time.Now()
+}
+
+// pollPause returns the pause after a query that returned a report. Queries are frequent
+// only while the rank may be in a switch.
+func (s *Sidecar) pollPause(interval time.Duration, report ranks.Report) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	pause := interval
+	if time.Since(s.lastOrder) < settleTime || report.Held || report.Armed != 0 || report.Prepared > report.Map {
+		pause = min(pause, switchPollInterval)
+	}
+	return max(minPollInterval, pause)
+}
+
 // watch sends the rank's state at every change, and otherwise once per interval, until
 // the planner disconnects.
 func (s *Sidecar) watch(ctx context.Context, interval time.Duration, stream *peer.Stream) {
@@ -139,7 +164,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(max(minPollInterval, min(maxPollInterval, interval))):
+		case <-time.After(s.pollPause(interval, report)):
 		}
 	}
 }
