Accept links again after a lack of descriptors

Cause: peer.Serve ended at the first error of Accept, and its caller dropped the error.

Change: errors that say nothing about the listener are tried again after 50 ms.

Measured: TestLinksAreAcceptedAfterALackOfDescriptors failed before ("too many open files") and holds now.

--- a/shared/peer/link.go
+++ b/shared/peer/link.go
@@ -4,15 +4,18 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chervilswitch.example/shared/fault"
+	"chervilswitch.example/shared/wait"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -214,8 +217,11 @@
 // handler returns.
 type Handler func(ctx context.Context, first *Open, s *Stream)
 
-// Serve accepts links and passes their streams to the handler until the context ends.
-// It returns an error if the listener fails before.
+// acceptRetryInterval is the pause after a connection could not be accepted.
+const acceptRetryInterval = 50 * time.Millisecond
+
+// Serve accepts links and passes their streams to the handler until the context ends. It
+// goes on after errors that pass, such as a lack of descriptors, and returns others.
 func Serve(ctx context.Context, listener net.Listener, handle Handler) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -224,6 +230,10 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if isTemporary(err) {
+			wait.Sleep(ctx, acceptRetryInterval)
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("accept a connection from a peer: %w", err)
 		}
@@ -231,6 +241,17 @@
 	}
 }
 
+// isTemporary reports whether an error of Accept says nothing about the listener: resources
+// are short, or the peer has gone.
+func isTemporary(err error) bool {
+	for _, passing := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
+}
+
 func serveLink(ctx context.Context, conn net.Conn, handle Handler) {
 	tracked := newLinkConn(conn)
 	session, err := yamux.Server(tracked, sessionConfig())
