Remove the registrations of instances that are gone

Cause: nobody removed registrations; an instance that hears at most half of all registered ones takes itself for cut off, and goes on sharing its limits with all of them.

Change: the leader removes the registrations of instances that have been silent for a minute; others forget them, and an instance that was only cut off registers again. The code on registrations has a file of its own.

Measured: TestRegistrationsOfGoneInstancesAreRemoved and TestInstanceWhoseRegistrationIsRemovedRegistersAgain hold; there was nothing to call before.

--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	stdlog "log"
@@ -11,8 +10,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +25,6 @@
 	"chervilswitch.example/shared/fleet"
 	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/settings"
-	"chervilswitch.example/shared/wait"
 
 	"github.com/apex/log"
 )
@@ -47,8 +43,6 @@
 	trimInterval = 2 * time.Second
 	// summaryInterval is how often limits and queues are logged.
 	summaryInterval = 5 * time.Second
-	// registerRetryInterval is the pause between two attempts to register.
-	registerRetryInterval = 500 * time.Millisecond
 )
 
 // Router serves callers on one entry instance.
@@ -172,6 +166,7 @@
 	goroutines.Go(func() { leadership.Run(serving, groupPlanner.Run) })
 	goroutines.Go(func() { r.publishRegistration(lifetime, false) })
 	goroutines.Go(func() { r.keepCrashes(lifetime) })
+	goroutines.Go(func() { r.pruneRegistrations(lifetime, leadership.Token) })
 	goroutines.Go(func() { r.tickLoop(lifetime) })
 	goroutines.Go(func() { settings.Watch(lifetime, r.options.File, r.reload) })
 }
@@ -188,70 +183,6 @@
 	}
 }
 
-// registerEntries applies registrations of entry instances, and the crashes that they have
-// reported. The first records are those of a listing.
-func (r *Router) registerEntries(records []fleet.Record) {
-	for _, record := range records {
-		if strings.HasPrefix(record.Key, crashKeyPrefix) {
-			r.registerCrash(record)
-			continue
-		}
-		if record.Removed {
-			continue
-		}
-		i, err := decodeInstance(record)
-		if err != nil {
-			events.Log(r.logger, events.RecordUnreadable, log.Fields{"topic": record.Topic.String(), "key": record.Key, "error": err.Error()})
-			continue
-		}
-		r.entries.Register(i)
-	}
-	r.entries.Listed()
-}
-
-// decodeInstance decodes the registration of an entry instance.
-func decodeInstance(record fleet.Record) (fleet.Instance, error) {
-	var i fleet.Instance
-	if err := json.Unmarshal(record.Value, &i); err != nil {
-		return fleet.Instance{}, fmt.Errorf("decode registration of entry instance %q: %w", record.Key, err)
-	}
-	return i, i.Check(record.Key)
-}
-
-// rewriteEntryRecords writes this instance's records again that a restored store lacks. The
-// copy may hold the registration of an earlier start, or from before the instance stops.
-func (r *Router) rewriteEntryRecords(listed []fleet.Record) {
-	self := r.self
-	self.Stopping = r.isStopping()
-	if !slices.ContainsFunc(listed, func(record fleet.Record) bool {
-		i, err := decodeInstance(record)
-		return err == nil && i == self
-	}) {
-		go r.publishRegistration(r.lifetime, self.Stopping)
-	}
-	select {
-	case r.crashes.found <- storedCrashes{records: listed, complete: true}:
-	case <-r.lifetime.Done():
-	}
-}
-
-// publishRegistration writes this instance's registration to the store. It retries until
-// that succeeds or the context ends.
-func (r *Router) publishRegistration(ctx context.Context, stopping bool) {
-	self := r.self
-	self.Stopping = stopping
-	value, err := json.Marshal(self)
-	if err != nil {
-		return // Unreachable: strings and numbers always encode.
-	}
-	for ctx.Err() == nil {
-		if err := r.store.Put(ctx, fleet.EntryTopic, self.Name, value); err == nil {
-			return
-		}
-		wait.Sleep(ctx, registerRetryInterval)
-	}
-}
-
 // servePeer handles a stream that another entry instance has opened.
 func (r *Router) servePeer(ctx context.Context, first *peer.Open, stream *peer.Stream) {
 	if state := first.GetEntry(); state != nil {
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -166,6 +166,33 @@
 	go m.sendLoop(link, mb)
 }
 
+// Silent returns the sorted names of the instances that have been silent for some time.
+func (m *Membership) Silent(silence time.Duration) []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var names []string
+	for name, mb := range m.members {
+		if time.Since(mb.lastSeen) >= silence {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Forget removes an instance whose registration was removed, unless it is live.
+func (m *Membership) Forget(name string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	mb, ok := m.members[name]
+	if !ok || time.Since(mb.received) < livenessTimeout {
+		return
+	}
+	mb.cancel()
+	delete(m.members, name)
+	events.Log(m.logger, events.EntriesChanged, log.Fields{"entry": name, "incarnation": mb.instance.Incarnation, "state": "forgotten"})
+}
+
 // Listed records that all registrations in the store have been passed to Register.
 func (m *Membership) Listed() { m.listedOnce.Do(func() { close(m.listed) }) }
 
