Let a replica of the soak spoil answers, and check that stops answer what has run

Change: one replica spoils one in 6 answers (no signature, an encoded body, 429 and 408 after a run); a request that has run once and gets no response breaks the check unless its router was killed or paused meanwhile; 408 and 421 count as statements that a request has not run.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,8 +42,11 @@
 	faultyReplicas = 2
 	pausingReplica = 3
 	leavingReplica = 4
-	callers        = 12
-	streamEvents   = 5
+	// spoilingReplica spoils one of spoilShare answers to requests that it has run.
+	spoilingReplica = 5
+	spoilShare      = 6
+	callers         = 12
+	streamEvents    = 5
 	// recoveryTimeout is the time after the last fault within which all routers must
 	// serve requests.
 	recoveryTimeout = 12 * time.Second
@@ -115,6 +119,9 @@
 	attemptCount   int
 	runs           map[string]int  // Executions by attempt ID, for requests that must run at most once.
 	reportedNotRun map[string]bool // Attempts that a response reported as not executed.
+	unanswered     []unanswered
+	answers        int                            // Of spoilingReplica.
+	disturbedAt    map[netip.AddrPort][]time.Time // When routers were killed or paused, by their address.
 	served         int
 	sent           int
 	// statuses counts responses by status; 0 is a request without a response.
@@ -142,6 +149,13 @@
 	violations          []string
 }
 
+// unanswered is a request whose connection ended without a response.
+type unanswered struct {
+	attempt      string
+	entry        netip.AddrPort
+	began, ended time.Time
+}
+
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "router")
 	build := exec.Command("go", "build", "-o", binary, "../router")
@@ -157,7 +171,7 @@
 func runSeed(t *testing.T, seed uint64, binary string) {
 	s := &soak{
 		C: qt.New(t), random: rand.New(rand.NewPCG(seed, 11)), binary: binary, folder: t.TempDir(),
-		store: &platformtest.Store{}, runs: make(map[string]int), states: make(map[int]string), entries: make(map[string]netip.AddrPort), pausedAt: make(map[netip.AddrPort]time.Time), leavingAt: make(map[netip.AddrPort]time.Time), pausedCount: make(map[netip.AddrPort]int), statuses: make(map[int]int), reportedNotRun: make(map[string]bool), harmfulAt: make(map[string][]time.Time), crashedAt: make(map[string][]time.Time),
+		store: &platformtest.Store{}, runs: make(map[string]int), states: make(map[int]string), entries: make(map[string]netip.AddrPort), pausedAt: make(map[netip.AddrPort]time.Time), leavingAt: make(map[netip.AddrPort]time.Time), pausedCount: make(map[netip.AddrPort]int), statuses: make(map[int]int), reportedNotRun: make(map[string]bool), disturbedAt: make(map[netip.AddrPort][]time.Time), harmfulAt: make(map[string][]time.Time), crashedAt: make(map[string][]time.Time),
 	}
 	s.startDeployment()
 	defer s.stopDeployment()
@@ -310,7 +324,9 @@
 		return
 	}
 	if !strings.HasPrefix(r.URI, "/stream/") {
-		w.WriteResponse(http.StatusOK, "echo "+r.Attempt, headers...)
+		if i != spoilingReplica || !s.spoil(w) {
+			w.WriteResponse(http.StatusOK, "echo "+r.Attempt, headers...)
+		}
 		return
 	}
 	firstEvent := 1
@@ -330,6 +346,29 @@
 	w.EndStream()
 }
 
+// spoil spoils one of spoilShare answers, and reports whether it has. The request has run.
+func (s *soak) spoil(w *platformtest.ResponseWriter) bool {
+	answers := 0
+	s.withLock(func() {
+		s.answers++
+		answers = s.answers
+	})
+	if answers%spoilShare != 0 {
+		return false
+	}
+	switch answers / spoilShare % 4 {
+	case 0:
+		w.WriteUnsigned("200 OK", "Content-Length: 7\r\n\r\nspoiled")
+	case 1:
+		w.WriteResponse(http.StatusOK, "spoiled", "Content-Encoding: gzip")
+	case 2:
+		w.WriteResponse(http.StatusTooManyRequests, "failed")
+	case 3:
+		w.WriteResponse(http.StatusRequestTimeout, "failed")
+	}
+	return true
+}
+
 // checkPause checks a request of a router to the replica that pauses. The caller holds the
 // mutex.
 func (s *soak) checkPause(entry netip.AddrPort, now time.Time) {
@@ -357,6 +396,14 @@
 	}
 }
 
+// disturb excuses requests that a router leaves unanswered now.
+func (s *soak) disturb(r *router) {
+	s.withLock(func() {
+		entry := r.address("callers")
+		s.disturbedAt[entry] = append(s.disturbedAt[entry], time.Now())
+	})
+}
+
 // forget excuses what a router knew before a fault.
 func (s *soak) forget(r *router) {
 	s.withLock(func() {
@@ -398,6 +445,9 @@
 
 // restartRouter ends a router's process with a signal and starts it again.
 func (s *soak) restartRouter(r *router, signal syscall.Signal) {
+	if signal == syscall.SIGKILL {
+		s.disturb(r)
+	}
 	_ = r.command.Process.Signal(signal)
 	_ = r.command.Wait() // A killed process ends with an error.
 	s.forget(r)
@@ -426,9 +476,11 @@
 		s.restartRouter(r, syscall.SIGTERM)
 	case 2:
 		name = "pause " + r.name
+		s.disturb(r)
 		_ = r.command.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(time.Duration(s.random.IntN(1500)) * time.Millisecond)
 		_ = r.command.Process.Signal(syscall.SIGCONT)
+		s.disturb(r)
 		s.forget(r)
 	case 3:
 		storeFault := platformtest.StoreFault(s.random.IntN(3))
@@ -537,9 +589,13 @@
 		s.sent++
 		s.entries[attempt] = entry
 	})
+	began := time.Now()
 	response, err := client.Do(request)
 	if err != nil {
-		s.withLock(func() { s.statuses[0]++ })
+		s.withLock(func() {
+			s.statuses[0]++
+			s.unanswered = append(s.unanswered, unanswered{attempt: attempt, entry: entry, began: began, ended: time.Now()})
+		})
 		return 0
 	}
 	s.withLock(func() { s.statuses[response.StatusCode]++ })
@@ -559,7 +615,7 @@
 // checkResponse checks a response that a caller received. The caller holds the mutex.
 func (s *soak) checkResponse(path, attempt string, response *http.Response, body string, readErr error) {
 	switch response.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		s.reportedNotRun[attempt] = true
 		return
 	case http.StatusOK:
@@ -599,6 +655,13 @@
 			s.violations = append(s.violations, attempt+": executed although a response reported that it was not")
 		}
 	}
+	for _, u := range s.unanswered {
+		// A planned stop answers what has run.
+		disturbed := slices.ContainsFunc(s.disturbedAt[u.entry], func(at time.Time) bool { return at.After(u.began) && at.Before(u.ended) })
+		if s.runs[u.attempt] > 0 && !disturbed {
+			s.violations = append(s.violations, fmt.Sprintf("%s: executed, and its connection to %s closed after %s without a response", u.attempt, u.entry, u.ended.Sub(u.began)))
+		}
+	}
 	for cause, needed := range learningCrashes {
 		late, reached, crashed := 0, s.harmfulAt[cause], s.crashedAt[cause]
 		for _, at := range reached {
