Let the test of a stop under load send what can finish, and read logs after their sink closed

Cause: with the race detector TestPlannedStopUnderLoadAnswersWhatHasRun ran fewer than the 100 requests that it asks for: since a stopping router refuses what may outlast it, its requests of 2 s in a grace period of 1 s ended with the stop's begin.

Change: requests of 0.5 s in a grace period of 2 s, which start until connections close, as the test means; the same check. Instances of tests end after their sink.

--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -107,8 +107,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- r.Serve(ctx)
-		sink.Close()
+		err := r.Serve(ctx)
+		sink.Close() // The log may be read afterwards.
+		ended <- err
 	}()
 	d.routers, d.stops, d.ended = append(d.routers, r), append(d.stops, stop), append(d.ended, ended)
 	t.Cleanup(func() { // Waits, so that no goroutine outlives the test.
@@ -942,7 +943,7 @@
 			failures := 0
 			for n := 0; failures < 5; n++ {
 				attempt := fmt.Sprintf("%d-%d", i, n)
-				request, err := platformtest.Call{Method: http.MethodPost, Path: nonIdempotentPath, Attempt: attempt, Key: testKey}.Request(context.Background(), d.routers[0].options.Callers)
+				request, err := platformtest.Call{Method: http.MethodPost, Path: nonIdempotentPath, Attempt: attempt, Key: testKey, Left: 500 * time.Millisecond}.Request(context.Background(), d.routers[0].options.Callers)
 				if err != nil {
 					return
 				}
@@ -959,7 +960,7 @@
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
-	d.stops[0]()
+	d.stopWithin(2 * time.Second) // The requests can finish, so they start until connections close.
 	callers.Wait()
 	runs := d.replicas["i-1"].Runs()
 	d.Assert(len(runs) > 100, qt.IsTrue)
