--- a/router/caller/foreign_test.go
+++ b/router/caller/foreign_test.go
@@ -47,7 +47,7 @@
 		"302":                   unsigned("302 Found", "Location: /elsewhere\r\n"+plain),
 		"404":                   unsigned("404 Not Found", plain),
 		"500":                   unsigned("500 Internal Server Error", plain),
-		"empty signature":       unsigned("200 OK", "Server-Signature:\r\n"+plain),
+		"empty signature":       unsigned("200 OK", platformtest.EmptySignature()+"\r\n"+plain),
 		"encoded body": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
 			w.WriteResponse(http.StatusOK, foreignText, "Content-Encoding: gzip")
 			w.Close()
@@ -79,12 +79,14 @@
 
 // A target that closed in the middle of the head of its answer has not answered.
 func TestAnswerCutInItsHeadIsNotForwarded(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	signed := status + platformtest.AttemptLine("a") + "\r\n" + platformtest.Signature() + "\r\n"
 	for name, head := range map[string]string{
-		"after the status line": "HTTP/1.1 200 OK\r\n",
-		"before its length":     "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Signature: s\r\n",
-		"inside its length":     "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Signature: s\r\nContent-Length: 1",
-		"before the empty line": "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Signature: s\r\nContent-Length: 17\r\n",
-		"inside the empty line": "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Signature: s\r\nContent-Length: 17\r\n\r",
+		"after the status line": status,
+		"before its length":     signed,
+		"inside its length":     signed + "Content-Length: 1",
+		"before the empty line": signed + "Content-Length: 17\r\n",
+		"inside the empty line": signed + "Content-Length: 17\r\n\r",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/router/caller/router_test.go
+++ b/router/caller/router_test.go
@@ -450,7 +450,7 @@
 		}
 	}
 	const maxSent = 16 << 20 // Far more than the sockets buffer.
-	const signed = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\n"
+	signed := "HTTP/1.1 200 OK\r\n" + platformtest.Signature() + "\r\n"
 	for name, handler := range map[string]platformtest.Handler{
 		"status line":  endless("", "x"),
 		"header":       endless("HTTP/1.1 200 OK\r\nX: ", "x"),
@@ -460,8 +460,8 @@
 		"chunk header": endless(signed+"Transfer-Encoding: chunked\r\n\r\n", "1"),
 		"trailer":      endless(signed+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"),
 		"unsigned":     endless("HTTP/1.1 200 OK\r\n\r\n", "x"),
-		"failure":      endless("HTTP/1.1 500 Failed\r\nServer-Signature: s\r\n\r\n", "x"),
-		"refusal":      endless("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n", "x"),
+		"failure":      endless("HTTP/1.1 500 Failed\r\n"+platformtest.Signature()+"\r\n\r\n", "x"),
+		"refusal":      endless("HTTP/1.1 503 Full\r\n"+platformtest.NotExecuted()+"\r\n\r\n", "x"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := deploy(t, 1, map[string]platformtest.Handler{"i-1": handler})
--- a/router/target/pool_test.go
+++ b/router/target/pool_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"testing"
 
+	"chervilswitch.example/platform/platformtest"
 	"chervilswitch.example/shared/fleet"
 
 	qt "github.com/frankban/quicktest"
@@ -38,7 +39,7 @@
 // A head that ends anywhere before its empty line is complete is no head of a response.
 func TestHeadCutAnywhereIsBroken(t *testing.T) {
 	c := qt.New(t)
-	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Signature: s\r\nContent-Length: 17\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\n" + platformtest.AttemptLine("a") + "\r\n" + platformtest.Signature() + "\r\nContent-Length: 17\r\n\r\n"
 	var sent atomic.Int64
 	target := serveRaw(c, func(w io.Writer) { _, _ = io.WriteString(w, head[:sent.Load()]) })
 	var pool Pool
