Keep the send buffers of endless test servers small

Cause: the read of the whole change found that the agent's tests counted up to 4,069,961 bytes in 40 runs, of 4,194,304 allowed: nearly all of them lay in the server's send buffer.

Change: the test servers send from buffers of 64 KiB. The bounds stay.

--- a/agent/target/endless_test.go
+++ b/agent/target/endless_test.go
@@ -17,6 +17,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// sendBufferBytes is the send buffer of a target that answers without end.
+const sendBufferBytes = 64 << 10
+
 // newEndlessAgent returns an agent of a target that answers its first connection with a
 // prefix and then the same text again and again, until the agent closes, and a channel with
 // the bytes sent.
@@ -31,6 +34,9 @@
 			return
 		}
 		defer conn.Close()
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			err = tcp.SetWriteBuffer(sendBufferBytes) // The system's own would hold megabytes.
+		}
 		total, _ := io.WriteString(conn, prefix)
 		for block := strings.Repeat(repeated, 1+4096/len(repeated)); err == nil; {
 			var n int
