Keep requests in their data centre while it has room

Cause: a target of another data centre cost a quarter of a running request, so with even load about a third of the requests crossed data centres. Change: placement compares the best target of this data centre with the best one elsewhere; another data centre is chosen at twice the free room, at the latest when it has 30% of the limit more, and for plain targets half of the limit counts as full.

--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -181,6 +181,8 @@
 	// Running is the estimated number of requests that the target is already running,
 	// and Limit is the most that it may run. A retry may exceed the limit by one.
 	Running, Limit int
+	// Home is true if the target is in this instance's data centre.
+	Home bool
 }
 
 // Move cancels a running request's attempt, so that it can continue at another target.
--- /dev/null
+++ b/shared/admission/placement.go
@@ -0,0 +1,66 @@
+package admission
+
+const (
+	// localPreference is the least penalty, in running requests, of a target in another
+	// data centre.
+	localPreference = 0.25
+	// maxPreference bounds the penalty of a target in another data centre, as a fraction
+	// of the home target's limit. The ranks of a group execute each pass together, and the
+	// part of a pass that is a rank's own grows by less than 1% with each running request.
+	maxPreference = 0.3
+	// plainReserve is the fraction of a plain target's limit that must be free for it to be
+	// preferred: beyond, its requests wait for each other.
+	plainReserve = 0.5
+)
+
+// placement decides whether a request is sent to another data centre.
+type placement struct {
+	// spill is the penalty, in running requests, of a target in another data centre for
+	// each request that the best home target has room for.
+	spill float64
+}
+
+// newPlacement returns the placement under which another data centre is chosen if it has
+// twice the room of this one.
+func newPlacement() placement { return placement{spill: 1} }
+
+// candidate is a target that has room for a request.
+type candidate struct {
+	target *target
+	// running is the estimated number of its requests, from all instances.
+	running, limit int
+	// room is the number of requests that the target has room for, less its penalties.
+	room float64
+}
+
+// choose returns the better one of the best targets of this and of the other data
+// centres. The preference for this one shrinks with its room, so that requests move
+// gradually and every target fills up.
+func (p placement) choose(s *service, home, remote candidate) candidate {
+	switch {
+	case home.target == nil:
+		return remote
+	case remote.target == nil:
+		return home
+	}
+	home.room -= s.slowness(home.target, remote.target)
+	unused := home.room
+	if s.Engine == nil {
+		unused -= plainReserve * float64(home.limit)
+	}
+	preference := max(localPreference, min(p.spill*unused, maxPreference*float64(home.limit)))
+	if remote.room > home.room+preference {
+		return remote
+	}
+	return home
+}
+
+// slowness returns the penalty, in running requests, of a target of a plain service that
+// responds more slowly than another one. The mean of the service does not show it if most
+// requests stay in one data centre.
+func (s *service) slowness(t, other *target) float64 {
+	if s.Engine != nil || t.timeToFirstOutput == 0 || other.timeToFirstOutput == 0 {
+		return 0
+	}
+	return max(0, float64(t.timeToFirstOutput)/float64(other.timeToFirstOutput)-1)
+}
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -18,9 +18,6 @@
 	// initialFinishInterval is the interval between two finished requests that is
 	// assumed before the first measurement.
 	initialFinishInterval = 50 * time.Millisecond
-	// localPreference is the penalty, in running requests, of a target in another data
-	// centre.
-	localPreference = 0.25
 )
 
 // service holds the targets, the queue and the limits of one service.
@@ -179,16 +176,16 @@
 	return float64(sum) / float64(max(1, count)), pace
 }
 
-// chooseTarget returns the target with the lowest load that a request may be sent to, and
-// its number of running requests. The target is nil if none has room.
-func (s *service) chooseTarget(at time.Time, e *activeRequest, st *State) (*target, int) {
+// chooseTarget returns the target with the lowest load that a request may be sent to; see
+// placement for the choice between data centres. The candidate is without a target if none
+// has room.
+func (s *service) chooseTarget(at time.Time, e *activeRequest, st *State) candidate {
 	extra := 0
 	if e.attemptsRun+len(e.tried) > 0 {
 		extra = 1 // Retries may exceed the limit, as they have waited already.
 	}
 	limits := s.limits()
-	var best *target
-	bestScore, bestRunning := 0.0, 0
+	var home, remote candidate
 	for i := range s.targetIDs {
 		index := (i + s.searchOffset) % len(s.targetIDs)
 		t := s.targets[s.targetIDs[index]]
@@ -201,23 +198,25 @@
 		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || t.notice.wait(at) > 0 || st.rateWait(at, s, t, index) > 0 {
 			continue
 		}
-		// Free capacity is compared, because limits differ between groups.
-		score := float64(running) - float64(limit) + failurePenalty*t.failures + s.latencyPenalty(t) + t.notice.penalty(at, len(e.tried) > 0)
+		best := &home
 		if t.DataCentre != st.dataCentre {
-			score += localPreference
+			best = &remote
 		}
-		if best == nil || score < bestScore {
-			best, bestScore, bestRunning = t, score, running
+		// Free capacity is compared, because limits differ between groups.
+		room := float64(limit) - float64(running) - failurePenalty*t.failures - s.latencyPenalty(t) - t.notice.penalty(at, len(e.tried) > 0)
+		if best.target == nil || room > best.room {
+			*best = candidate{target: t, running: running, limit: limit - extra, room: room}
 		}
 	}
-	if best != nil {
+	best := st.placement.choose(s, home, remote)
+	if t := best.target; t != nil {
 		s.searchOffset++
-		best.takeTokens()
-		if best.notice != nil && best.notice.onTrial {
-			best.backOff(at, trialInterval)
+		t.takeTokens()
+		if t.notice != nil && t.notice.onTrial {
+			t.backOff(at, trialInterval)
 		}
 	}
-	return best, bestRunning
+	return best
 }
 
 // latencyPenalty returns the penalty, in running requests, of a slow target of a plain
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -43,6 +43,7 @@
 // State is the reducer's state. Use New to create one.
 type State struct {
 	dataCentre   string
+	placement    placement
 	retryBudget  RetryBudget
 	entries      entrySet
 	limits       targetLimits
@@ -59,7 +60,7 @@
 func New(instance, dataCentre string, retryBudget RetryBudget) *State {
 	return &State{
 		quarantine: quarantine{instance: instance},
-		dataCentre: dataCentre, retryBudget: retryBudget, entries: newEntrySet(instance), limits: newTargetLimits(), notices: newTargetNotices(),
+		dataCentre: dataCentre, placement: newPlacement(), retryBudget: retryBudget, entries: newEntrySet(instance), limits: newTargetLimits(), notices: newTargetNotices(),
 		services: make(map[string]*service), requests: make(map[RequestID]*activeRequest), peerLoads: newPeerLoads(),
 		groupReports: make(map[string]GroupReport), closedGroups: make(map[string]bool),
 	}
@@ -297,7 +298,8 @@
 
 // dispatch assigns a request to the best target and reports whether any has room.
 func (st *State) dispatch(at time.Time, s *service, e *activeRequest) (Dispatch, bool) {
-	t, running := s.chooseTarget(at, e, st)
+	chosen := s.chooseTarget(at, e, st)
+	t := chosen.target
 	if t == nil {
 		return Dispatch{}, false
 	}
@@ -307,7 +309,7 @@
 	st.requests[e.request.ID] = e
 	return Dispatch{
 		ID: e.request.ID, Target: t.Target, Attempt: e.attempts,
-		Waited: at.Sub(e.queuedSince), Running: running, Limit: s.limits()(t),
+		Waited: at.Sub(e.queuedSince), Running: chosen.running, Limit: chosen.limit, Home: t.DataCentre == st.dataCentre,
 	}, true
 }
 
