Choose among ranks of similar load by the work that is left

Cause: two long prompts could meet on one rank, since each request counted one, and nothing kept what a target holds within its engine's memory. Change: fleet.Work is the one definition of a request's size; targets sum the engine's time that this instance's requests have left, and a target with more than the mean counts as at most one request fuller; a request that does not fit into 0.9 of the engine's memory beside the others waits. Dispatch tells home and the outstanding time.

--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -34,6 +34,8 @@
 	Movable bool
 	// SharedParts lists the parts of the prompt that other requests may contain as well.
 	SharedParts []string
+	// Work is the size of a model request.
+	Work fleet.Work
 	// Identity is equal for requests with the same content; empty if that is not known.
 	Identity string
 }
@@ -111,6 +113,7 @@
 
 // StreamGap reports the gap between two events of a stream from a target.
 type StreamGap struct {
+	ID              RequestID
 	Service, Target string
 	Gap             time.Duration
 }
@@ -183,6 +186,9 @@
 	Running, Limit int
 	// Home is true if the target is in this instance's data centre.
 	Home bool
+	// Outstanding is the engine's time for what this instance's other requests on the
+	// target, as far as their sizes are known, have still to read and to write.
+	Outstanding time.Duration
 }
 
 // Move cancels a running request's attempt, so that it can continue at another target.
--- a/shared/admission/queue.go
+++ b/shared/admission/queue.go
@@ -22,6 +22,12 @@
 	moving bool
 	// responseStarted is true if the caller has received a part of the response.
 	responseStarted bool
+	// outstanding is what the request adds to its target, and unread the part of its time
+	// for the prompt until the first event. written counts the output tokens of all
+	// attempts.
+	outstanding outstanding
+	unread      time.Duration
+	written     int
 	// answered is true if a target has sent output for the request.
 	answered bool
 	// refuseAt is when the request is refused if it still waits.
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -59,7 +59,7 @@
 		if !ok || state.Incarnation != t.Incarnation {
 			newState := &target{}
 			if ok {
-				newState.running = state.running
+				newState.running, newState.outstanding = state.running, state.outstanding
 			}
 			state = newState
 		}
@@ -121,11 +121,11 @@
 }
 
 // recordStart counts a new running request on a target.
-func (s *service) recordStart(at time.Time, t *target) {
+func (s *service) recordStart(at time.Time, t *target, e *activeRequest) {
 	if s.groupRunning(t.Group) == 0 {
 		s.passModelOf(t.Group).lastOutput = at
 	}
-	t.running++
+	t.start(e, s.Engine)
 }
 
 // groupRunning returns the number of this instance's requests that run on a group.
@@ -185,6 +185,7 @@
 		extra = 1 // Retries may exceed the limit, as they have waited already.
 	}
 	limits := s.limits()
+	meanOutstanding := s.meanOutstanding()
 	var home, remote candidate
 	for i := range s.targetIDs {
 		index := (i + s.searchOffset) % len(s.targetIDs)
@@ -195,7 +196,7 @@
 			continue // Retries avoid excluded ranks as well.
 		}
 		limit += extra
-		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || t.notice.wait(at) > 0 || st.rateWait(at, s, t, index) > 0 {
+		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || t.notice.wait(at) > 0 || st.rateWait(at, s, t, index) > 0 || !s.hasMemory(t, running, e.request.Work) {
 			continue
 		}
 		best := &home
@@ -203,7 +204,7 @@
 			best = &remote
 		}
 		// Free capacity is compared, because limits differ between groups.
-		room := float64(limit) - float64(running) - failurePenalty*t.failures - s.latencyPenalty(t) - t.notice.penalty(at, len(e.tried) > 0)
+		room := float64(limit) - float64(running) - failurePenalty*t.failures - s.latencyPenalty(t) - t.workPenalty(meanOutstanding) - t.notice.penalty(at, len(e.tried) > 0)
 		if best.target == nil || room > best.room {
 			*best = candidate{target: t, running: running, limit: limit - extra, room: room}
 		}
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -303,22 +303,23 @@
 	if t == nil {
 		return Dispatch{}, false
 	}
-	s.recordStart(at, t)
+	left := t.outstanding.time
+	s.recordStart(at, t, e)
 	e.target = t.ID
 	e.attempts++
 	st.requests[e.request.ID] = e
 	return Dispatch{
 		ID: e.request.ID, Target: t.Target, Attempt: e.attempts,
-		Waited: at.Sub(e.queuedSince), Running: chosen.running, Limit: chosen.limit, Home: t.DataCentre == st.dataCentre,
+		Waited: at.Sub(e.queuedSince), Running: chosen.running, Limit: chosen.limit, Home: t.DataCentre == st.dataCentre, Outstanding: left,
 	}, true
 }
 
 // release removes a request from its target.
 func (st *State) release(s *service, e *activeRequest) {
-	if t, ok := s.targets[e.target]; ok && t.running > 0 {
-		t.running--
+	if t, ok := s.targets[e.target]; ok {
+		t.end(e)
 	}
-	e.target = ""
+	e.target, e.outstanding, e.unread = "", outstanding{}, 0
 }
 
 // retry dispatches the request to another target, queues it, or refuses it if its
@@ -393,6 +394,7 @@
 		t.recordResult(at, e)
 		if e.TimeToFirstOutput > 0 {
 			s.passModelOf(t.Group).lastOutput = at
+			st.progress(s, e.ID, e.Target)
 		}
 	}
 	switch {
@@ -433,6 +435,7 @@
 		return nil
 	}
 	effects := st.quarantine.recordOutput(at, at.Add(-e.Gap), t)
+	st.progress(s, e.ID, e.Target)
 	if s.Engine != nil {
 		running, pace := s.groupLoad(t.Group, st.peerLoads)
 		s.passModelOf(t.Group).observe(at, s.Engine, e.Gap, running, pace)
--- a/shared/admission/target.go
+++ b/shared/admission/target.go
@@ -37,6 +37,8 @@
 	timeToFirstOutput  time.Duration
 	connectionFailures int       // Since the last success.
 	backoffUntil       time.Time // No requests are sent before this time.
+	// outstanding is the work of this instance's requests.
+	outstanding outstanding
 	// notice holds what the target's responses say about the requests that it wants.
 	notice *knownNotice
 	// coldRate and namedRate are the shares of the service's cold rate and of the limit
--- a/shared/fleet/configuration.go
+++ b/shared/fleet/configuration.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"strings"
 	"time"
 )
@@ -120,6 +121,8 @@
 	// ColdRate is the number of requests per second that a cold target can serve for
 	// all instances together. Zero means no limit.
 	ColdRate float64
+	// Prioritised is true if requests of the service differ in their priority.
+	Prioritised bool
 	// Engine describes the replicas of a model service; nil for other services.
 	Engine *Engine
 }
@@ -141,6 +144,9 @@
 	PrefillRate float64
 	// MeanPromptTokens and MeanOutputTokens are the mean numbers of tokens per request.
 	MeanPromptTokens, MeanOutputTokens float64
+	// MemoryTokens is the number of tokens that the memory of a replica holds; 0 if it is
+	// unknown.
+	MemoryTokens int
 	// Sets is the number of expert sets; 0 if the model has no experts. Experts is the
 	// number of experts per set, and Places the number of experts that one rank can
 	// hold per set.
@@ -156,6 +162,35 @@
 	GroupFormationTime time.Duration
 }
 
+// SetPrioritised sets Prioritised of all services. The priority of an organisation takes
+// precedence over that of a route.
+func (c *Configuration) SetPrioritised() {
+	byOrganisation := make(map[int]bool)
+	byRoute := len(c.Organisations) == 0
+	for _, o := range c.Organisations {
+		if o.Priority == nil {
+			byRoute = true
+		} else {
+			byOrganisation[*o.Priority] = true
+		}
+	}
+	priorities := make(map[string]map[int]bool, len(c.Services))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		for _, s := range r.Split {
+			if priorities[s.Service] == nil {
+				priorities[s.Service] = maps.Clone(byOrganisation)
+			}
+			if byRoute || r.Anonymous {
+				priorities[s.Service][r.Priority] = true
+			}
+		}
+	}
+	for name, s := range c.Services {
+		s.Prioritised = len(priorities[name]) > 1
+	}
+}
+
 // Match returns the route of a host with the longest matching path prefix, or nil.
 func (c *Configuration) Match(host, path string) *Route {
 	var best *Route
