Send targets the urgency of requests where priorities differ

Cause: engines admit more urgent requests first but were sent no urgency, and the sizes that callers state were not read. A request without an organisation has its route's priority; it was taken for the most urgent before. requestDispatched logs home, sizes, priority and the work outstanding.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -54,7 +54,7 @@
 func (a *attempt) run(ctx context.Context) bool {
 	forwarded := platform.ForwardMetadata{
 		Instance: a.target.ID, Organisation: a.organisation,
-		Left: time.Until(a.deadline), LastEvent: a.lastEvent,
+		Left: time.Until(a.deadline), LastEvent: a.lastEvent, Priority: a.urgency, Repeated: a.attempts > 1,
 	}
 	response, err := a.router.pool.Do(ctx, a.target, &target.Request{
 		Method: a.request.Method, URI: a.request.RequestURI, Host: a.request.Host,
@@ -206,7 +206,7 @@
 		if last.IsZero() {
 			a.firstEvent(now, response, id, resumed)
 		} else {
-			a.router.core.HandleEvent(admission.StreamGap{Service: a.service, Target: a.target.ID, Gap: now.Sub(last)})
+			a.router.core.HandleEvent(admission.StreamGap{ID: a.id, Service: a.service, Target: a.target.ID, Gap: now.Sub(last)})
 			a.router.metrics.eventGap.RecordDuration(now.Sub(last))
 		}
 		last = now
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -56,6 +56,7 @@
 	route        *fleet.Route
 	organisation string
 	priority     int
+	urgency      *int // The priority; nil if all requests of the service have the same.
 	service      string
 	maxBodyBytes int64
 	body         []byte
@@ -106,7 +107,7 @@
 	x.id, x.decisions = x.router.core.Submit(admission.Request{
 		Service: x.service, Organisation: x.organisation, Priority: x.priority,
 		Objective: x.route.Objective, Elapsed: elapsed, Deadline: x.deadline,
-		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(), SharedParts: x.headers.SharedParts, Identity: x.identity,
+		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(), SharedParts: x.headers.SharedParts, Identity: x.identity, Work: x.headers.Work,
 	})
 	defer x.router.core.Finish(x.id)
 	for {
@@ -183,7 +184,8 @@
 	events.Log(x.logger, events.RequestDispatched, log.Fields{
 		"service": x.service, "route": x.route.Name, "organisation": x.organisation, "target": d.Target.ID,
 		"sharedParts": x.headers.SharedParts, "identity": x.identity,
-		"attempt": d.Attempt, "waited": d.Waited.String(), "running": d.Running, "limit": d.Limit, "version": x.version,
+		"attempt": d.Attempt, "waited": d.Waited.String(), "running": d.Running, "limit": d.Limit, "home": d.Home, "outstanding": d.Outstanding.String(),
+		"promptTokens": x.headers.Work.Prompt, "outputTokens": x.headers.Work.Output, "priority": x.priority, "urgent": x.urgency != nil, "version": x.version,
 	})
 	a := attempt{exchange: x, target: d.Target, began: time.Now()}
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -67,9 +67,10 @@
 		return false
 	}
 	organisation := configuration.Organisations[x.headers.Key]
+	x.priority = x.route.Priority
 	switch {
 	case organisation != nil:
-		x.organisation, x.priority = organisation.Name, x.route.Priority
+		x.organisation = organisation.Name
 		if organisation.Priority != nil {
 			x.priority = *organisation.Priority
 		}
@@ -78,6 +79,9 @@
 		return false
 	}
 	x.service = x.route.Pick(rand.Float64())
+	if s := configuration.Services[x.service]; s != nil && s.Prioritised {
+		x.urgency = &x.priority
+	}
 	x.maxBodyBytes = configuration.Limits.BodyBytes
 	return true
 }
