Share the demand by priority between routers, so that less urgent requests give way

Cause: each router decided alone. A less urgent request took the slot that a more urgent one waited for at another router, and with a shorter objective the most urgent were refused most. Change: while a service whose requests differ in priority or organisation lacks room, state messages hold the waiting, offered and refused requests by priority, and the largest organisations. From the sum each router derives the part of each priority that is admitted without spare room, the room kept free for more urgent ones, and the shares of organisations. A priority keeps half of the mean chance.

--- a/router/core/core.go
+++ b/router/core/core.go
@@ -229,6 +229,12 @@
 		case admission.TargetNoticed:
 			c.logNotice(now, d)
 			continue
+		case admission.PressureChanged:
+			c.logPressure(d)
+			continue
+		case admission.ShareChanged:
+			events.Log(c.options.Logger, events.ShareChanged, log.Fields{"service": d.Service, "organisation": d.Organisation, "share": d.Share})
+			continue
 		case admission.TargetLimitChanged:
 			c.logTargetLimit(now, d)
 			c.due.targetLimits = c.due.targetLimits || d.Peer == ""
@@ -248,6 +254,13 @@
 	})
 }
 
+func (c *Core) logPressure(p admission.PressureChanged) {
+	events.Log(c.options.Logger, events.PressureChanged, log.Fields{
+		"service": p.Service, "on": p.On, "chance": p.Chance, "admitted": p.Admitted, "waiting": p.Waiting,
+		"offered": p.Offered, "refused": p.Refused, "peers": p.Peers, "oldestReport": p.OldestReport.String(),
+	})
+}
+
 func (c *Core) logTargetLimit(now time.Time, l admission.TargetLimitChanged) {
 	events.Log(c.options.Logger, events.TargetLimitChanged, log.Fields{
 		"target": l.Limit.Target, "incarnation": l.Limit.Incarnation, "perSecond": l.Limit.PerSecond, "previous": l.Previous,
@@ -278,6 +291,14 @@
 	return c.admission.TargetLimitsSince(version)
 }
 
+// Demand returns the demand at this instance for services that lack room; see
+// admission.State.Demand.
+func (c *Core) Demand() []admission.ServiceDemand {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.admission.Demand(time.Now())
+}
+
 // OwnCrashes returns the crashes that this instance has reported; see
 // admission.State.OwnCrashes.
 func (c *Core) OwnCrashes() []admission.CrashReport {
--- a/router/entries/dissemination.go
+++ b/router/entries/dissemination.go
@@ -117,6 +117,7 @@
 	changes                   map[fleet.Topic]uint64 // The numbers of the last changes of topics.
 	configuration             uint64                 // The version of the configuration.
 	running                   map[string]int32       // Nil before the first message.
+	demands                   []admission.ServiceDemand
 }
 
 // ownLoads holds the numbers of this instance's running requests, which the messages to all
@@ -172,6 +173,7 @@
 	m.addCrashEvidence(state, mb)
 	m.addTargetLimits(state, mb)
 	m.addTargetNotices(state, mb)
+	m.addDemands(state, mb)
 	if received {
 		m.addRecords(state, mb, theirs, configuration, delays)
 	}
@@ -300,8 +302,9 @@
 type inbound struct {
 	running   map[string]int
 	groups    admission.GroupReport
-	seen      bool      // It has become the latest stream of its sender.
-	appliedAt time.Time // When running and groups were last passed to the core.
+	demands   map[string]admission.ServiceDemand // By service.
+	seen      bool                               // It has become the latest stream of its sender.
+	appliedAt time.Time                          // When running and groups were last passed to the core.
 }
 
 // add applies the loads and group states of a message, and reports whether they changed.
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -72,6 +72,8 @@
 	// TargetNoticesSince returns what targets have asked of this instance after a version,
 	// and the current version.
 	TargetNoticesSince(version uint64) ([]admission.TargetNotice, uint64)
+	// Demand returns the demand at this instance for services that lack room.
+	Demand() []admission.ServiceDemand
 }
 
 // Membership tracks the known entry instances and exchanges state with them.
@@ -105,7 +107,8 @@
 	// known reports whether the core knows the instances that share limits.
 	known atomic.Bool
 
-	loads ownLoads
+	loads   ownLoads
+	demands ownDemands
 }
 
 // member is the last known state of another entry instance.
@@ -467,6 +470,9 @@
 		m.core.HandleEvent(in.groups)
 		m.core.HandleEvent(admission.PeerLoad{Peer: state.GetInstance(), Running: maps.Clone(in.running)})
 	}
+	if latest {
+		m.applyDemands(state, in)
+	}
 }
 
 // Watch sends a PeerLost event to the core when the state messages of an instance stop,
--- a/router/entries/entries_test.go
+++ b/router/entries/entries_test.go
@@ -37,6 +37,7 @@
 func (emptyCore) TargetLimitsSince(uint64) ([]admission.TargetLimit, uint64) {
 	return nil, 0
 }
+func (emptyCore) Demand() []admission.ServiceDemand                            { return nil }
 func (emptyCore) TargetNoticesSince(uint64) ([]admission.TargetNotice, uint64) { return nil, 0 }
 func (emptyCore) CrashEvidence(uint64) (admission.CrashEvidence, uint64) {
 	return admission.CrashEvidence{}, 0
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -223,11 +223,15 @@
 	RateLimited
 	// Paused means that all targets have asked for a pause that lasts too long.
 	Paused
+	// LessUrgent means that the room is needed for more urgent requests.
+	LessUrgent
+	// OverShare means that the organisation is above its share while requests lack room.
+	OverShare
 )
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
-	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed", "quarantined", "rateLimited", "paused"}[r]
+	return [...]string{"noTarget", "queueFull", "waitedTooLong", "noBudget", "noAttempts", "groupClosed", "quarantined", "rateLimited", "paused", "lessUrgent", "overShare"}[r]
 }
 
 func (Dispatch) effect() {}
--- a/shared/admission/queue.go
+++ b/shared/admission/queue.go
@@ -24,10 +24,15 @@
 	responseStarted bool
 	// answered is true if a target has sent output for the request.
 	answered bool
+	// advance is by how much the request goes before its priority; see State.thin.
+	advance int
 	// refuseAt is when the request is refused if it still waits.
 	refuseAt time.Time
 }
 
+// rank returns the priority at which the request waits.
+func (e *activeRequest) rank() int { return e.request.Priority - e.advance }
+
 // queue orders waiting requests by priority. Within a priority it serves organisations
 // round-robin, and the requests of one organisation in order of arrival, after its
 // retries. The zero value is empty.
@@ -65,9 +70,9 @@
 // organisationQueue returns the queue of a request's organisation and priority, and
 // creates it if necessary.
 func (q *queue) organisationQueue(e *activeRequest) *organisationQueue {
-	at, found := slices.BinarySearchFunc(q.levels, e.request.Priority, func(l level, p int) int { return cmp.Compare(l.priority, p) })
+	at, found := slices.BinarySearchFunc(q.levels, e.rank(), func(l level, p int) int { return cmp.Compare(l.priority, p) })
 	if !found {
-		q.levels = slices.Insert(q.levels, at, level{priority: e.request.Priority})
+		q.levels = slices.Insert(q.levels, at, level{priority: e.rank()})
 	}
 	l := &q.levels[at]
 	for _, o := range l.organisations {
@@ -123,6 +128,17 @@
 	return removed
 }
 
+// each calls a function for each waiting request.
+func (q *queue) each(visit func(*activeRequest)) {
+	for _, l := range q.levels {
+		for _, o := range l.organisations {
+			for _, e := range o.waiting {
+				visit(e)
+			}
+		}
+	}
+}
+
 // ahead returns the number of waiting requests of the same or a more urgent priority.
 func (q *queue) ahead(priority int) int {
 	count := 0
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -32,6 +32,8 @@
 	targetsVersion uint64
 	searchOffset   int // Where chooseTarget begins, modulo len(targetIDs).
 	waiting        queue
+	demand         demand
+	pressure       pressure
 	// passModels holds a model for each group; targets without a group share one.
 	passModels map[string]*passModel
 	maxGap     time.Duration // Largest MaxGap of all requests so far.
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -121,7 +121,20 @@
 			effects = st.moveFromSlowRanks(at)
 		}
 		return append(effects, st.dispatchAllWaiting(at)...)
+	case PeerDemand:
+		for _, s := range st.services {
+			delete(s.demand.peers, e.Peer)
+		}
+		for _, reported := range e.Services {
+			if s, ok := st.services[reported.Service]; ok {
+				s.demand.setPeer(at, e.Peer, reported)
+			}
+		}
+		return nil
 	case PeerLost:
+		for _, s := range st.services {
+			delete(s.demand.peers, e.Peer)
+		}
 		st.peerLoads.set(e.Peer, nil)
 		delete(st.groupReports, e.Peer)
 		st.setClosedGroups()
@@ -194,8 +207,7 @@
 	return s
 }
 
-// submit dispatches a request, queues it, or refuses it if the expected wait exceeds the
-// allowed one.
+// submit admits a request or refuses it.
 func (st *State) submit(at time.Time, r Request) []Effect {
 	s := st.service(r.Service)
 	s.maxGap = max(s.maxGap, r.MaxGap)
@@ -210,8 +222,28 @@
 	if st.allClosed(at, s) {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: GroupClosedRetryAfter, Reason: GroupClosed}}
 	}
-	ahead := s.waiting.ahead(r.Priority)
-	if ahead == 0 {
+	changes := st.updatePressure(at, r.Service, s)
+	if reason, refused := st.thin(at, s, e); refused {
+		return append(changes, s.refuse(at, Refuse{ID: r.ID, RetryAfter: s.pressureDelay(r), Reason: reason, Queued: s.waiting.length}, r.Priority))
+	}
+	return append(changes, st.admit(at, s, e)...)
+}
+
+// refuse counts a refusal for want of room and returns it.
+func (s *service) refuse(at time.Time, r Refuse, priority int) Refuse {
+	switch r.Reason {
+	case QueueFull, WaitedTooLong, LessUrgent:
+		s.demand.level(priority).refused.add(at, 1)
+	}
+	return r
+}
+
+// admit dispatches a request, queues it, or refuses it if the expected wait exceeds the
+// allowed one.
+func (st *State) admit(at time.Time, s *service, e *activeRequest) []Effect {
+	r := e.request
+	ahead := s.waiting.ahead(e.rank())
+	if ahead == 0 && st.leavesRoom(at, s, e) {
 		if d, ok := st.dispatch(at, s, e); ok {
 			return []Effect{d}
 		}
@@ -222,7 +254,7 @@
 	}
 	expected := s.expectedWait(ahead)
 	if expected > allowedWait {
-		return []Effect{Refuse{ID: r.ID, RetryAfter: retryAfter(expected), Reason: QueueFull, Queued: s.waiting.length, ExpectedWait: expected}}
+		return []Effect{s.refuse(at, Refuse{ID: r.ID, RetryAfter: retryAfter(expected), Reason: QueueFull, Queued: s.waiting.length, ExpectedWait: expected}, r.Priority)}
 	}
 	e.refuseAt = at.Add(allowedWait)
 	st.requests[r.ID] = e
@@ -444,6 +476,9 @@
 	for s.waiting.length > 0 {
 		var d Dispatch
 		if s.waiting.take(func(e *activeRequest) (ok bool) {
+			if !st.leavesRoom(at, s, e) {
+				return false
+			}
 			d, ok = st.dispatch(at, s, e)
 			return ok
 		}) == nil {
@@ -491,16 +526,20 @@
 	st.quarantine.forget(at)
 	st.limits.forget(at, st.hasTarget)
 	st.notices.forget(at, st.hasTarget)
-	effects := st.dispatchAllWaiting(at)
+	var effects []Effect
+	for _, name := range slices.Sorted(maps.Keys(st.services)) {
+		effects = append(effects, st.updatePressure(at, name, st.services[name])...)
+	}
+	effects = append(effects, st.dispatchAllWaiting(at)...)
 	for _, name := range slices.Sorted(maps.Keys(st.services)) {
 		s := st.services[name]
 		expired := s.waiting.remove(func(e *activeRequest) bool { return !at.Before(e.refuseAt) })
 		for _, e := range sortByID(expired) {
 			delete(st.requests, e.request.ID)
-			effects = append(effects, Refuse{
+			effects = append(effects, s.refuse(at, Refuse{
 				ID: e.request.ID, RetryAfter: retryAfter(s.expectedWait(s.waiting.length)),
 				Reason: WaitedTooLong, Queued: s.waiting.length, ExpectedWait: at.Sub(e.queuedSince),
-			})
+			}, e.request.Priority))
 		}
 	}
 	return effects
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -49,6 +49,8 @@
 	QuarantineChanged  Event = 2016
 	TargetLimitChanged Event = 2017
 	TargetNoticed      Event = 2018
+	PressureChanged    Event = 2024
+	ShareChanged       Event = 2025
 	DutyTaken          Event = 2203
 	DutyLeft           Event = 2204
 	SwitchPlanned      Event = 2205
@@ -99,6 +101,8 @@
 	QuarantineChanged:  "quarantineChanged",
 	TargetLimitChanged: "targetLimitChanged",
 	TargetNoticed:      "targetNoticed",
+	PressureChanged:    "pressureChanged",
+	ShareChanged:       "shareChanged",
 	DutyTaken:          "dutyTaken",
 	DutyLeft:           "dutyLeft",
 	SwitchPlanned:      "switchPlanned",
