--- a/shared/admission/pressure_test.go
+++ b/shared/admission/pressure_test.go
@@ -274,7 +274,7 @@
 		c.Check(shared["priority 1"].share() >= shared["priority 2"].share()-0.02, qt.IsTrue)
 		c.Check(shared["priority 2"].share() >= 0.4*mean, qt.IsTrue)
 		c.Check(mean >= 0.97*0.5, qt.IsTrue) // The slots are enough for half of all.
-		if instances > 1 { // One instance alone has strict priorities, and starves the last.
+		if instances > 1 {                   // One instance alone has strict priorities, and starves the last.
 			c.Check(shared["priority 0"].share() >= alone["priority 0"].share(), qt.IsTrue)
 		}
 	}
