Let requests that go before their priority wait no longer than more urgent ones

Change: a request that goes before its priority has the shortest allowed wait of the more urgent ones.

--- a/shared/admission/demand.go
+++ b/shared/admission/demand.go
@@ -97,6 +97,8 @@
 // levelCounts counts the requests of one priority.
 type levelCounts struct {
 	offered, refused decayed
+	// allowedWait is that of the latest request.
+	allowedWait time.Duration
 	// admitted and advanced accumulate the parts of requests that are due to be admitted
 	// under pressure, and to be advanced.
 	admitted, advanced accumulator
--- a/shared/admission/pressure.go
+++ b/shared/admission/pressure.go
@@ -244,6 +244,7 @@
 	p, priority := &s.pressure, e.request.Priority
 	organisation := s.demand.organisation(e.request.Organisation)
 	counts := s.demand.level(priority)
+	counts.allowedWait = s.allowedWait(e.request)
 	if organisation != nil {
 		organisation.offered.add(at, 1)
 	}
@@ -251,14 +252,14 @@
 		counts.offered.add(at, 1)
 		return 0, false
 	}
-	l := p.level(priority)
+	l, free := p.level(priority), st.freeRoom(at, s)
 	share, over := p.shares[e.request.Organisation]
-	if over && organisation != nil && st.freeRoom(at, s) < l.shareReserve+1 && !organisation.admitted.add(share) {
+	if over && organisation != nil && free < l.shareReserve+1 && !organisation.admitted.add(share) {
 		s.demand.overShare.add(at, 1)
 		return OverShare, true
 	}
 	counts.offered.add(at, 1)
-	if l.admitted >= 1 || st.leavesRoom(at, s, e) && st.freeRoom(at, s) >= 1 {
+	if l.admitted >= 1 || free >= l.reserve+1 {
 		return 0, false
 	}
 	if !counts.admitted.add(l.admitted) {
@@ -273,6 +274,21 @@
 	return 0, false
 }
 
+// allowedWaitOf returns how long a request may wait. One that goes before its priority may
+// wait no longer than the more urgent ones, which would otherwise be refused more often.
+func (s *service) allowedWaitOf(e *activeRequest) time.Duration {
+	wait := s.allowedWait(e.request)
+	if e.advance == 0 {
+		return wait
+	}
+	for priority, counts := range s.demand.levels {
+		if priority < e.request.Priority && counts.allowedWait > 0 {
+			wait = min(wait, counts.allowedWait)
+		}
+	}
+	return wait
+}
+
 // pressureDelay returns the delay after which a caller whose request gave way should retry.
 // Less urgent ones return later, and those of a priority spread over time.
 func (s *service) pressureDelay(r Request) time.Duration {
--- a/shared/admission/pressure_test.go
+++ b/shared/admission/pressure_test.go
@@ -33,7 +33,7 @@
 	random *rand.Rand
 	states []*State
 	start  time.Time
-	calls  []timedCall
+	calls  map[time.Duration][]func(now time.Time) // By the step in which they are due.
 	served map[string]*loadResult
 	ids    RequestID
 	active map[RequestID]activeLoad
@@ -62,18 +62,22 @@
 	refused      map[Reason]int
 	servedByTime map[int]int // By second.
 	waited       time.Duration
+	delays       time.Duration // The sum of Retry-After of the requests that gave way.
+	held         int           // Requests that waited and then gave way to others.
+}
+
+func (r *loadResult) meanDelay() time.Duration {
+	return r.delays / time.Duration(max(1, r.refused[LessUrgent]+r.refused[OverShare]))
 }
 
 func (r *loadResult) share() float64 { return share(r.served, r.sent) }
 
-type timedCall struct {
-	at   time.Time
-	call func()
-}
+// loadStep is the step of time of a sharedLoad.
+const loadStep = 5 * time.Millisecond
 
 // run returns what callers received, by "priority N", organisation and "all".
 func (l *sharedLoad) run(seed uint64) map[string]*loadResult {
-	const step = 5 * time.Millisecond
+	l.calls = make(map[time.Duration][]func(time.Time))
 	l.random = rand.New(rand.NewPCG(seed, 11))
 	l.start = time.Unix(9000, 0)
 	l.heard = make(map[[2]int]time.Time)
@@ -92,7 +96,7 @@
 		l.at(time.Duration(from)*200*time.Millisecond/time.Duration(l.instances), func(now time.Time) { l.exchange(now, from) })
 	}
 	slots := l.slotsAt(0)
-	for at := time.Duration(0); at < l.duration; at += step {
+	for at := time.Duration(0); at < l.duration; at += loadStep {
 		now := l.start.Add(at)
 		if n := l.slotsAt(at); n != slots {
 			slots = n
@@ -103,9 +107,12 @@
 				l.reduce(now, i, ServiceTargets{Service: fleet.Service{Name: testService}, Targets: targets})
 			}
 		}
-		l.callDue(now)
+		for _, call := range l.calls[at] {
+			call(now)
+		}
+		delete(l.calls, at)
 		for _, k := range l.kinds {
-			for expected := k.perSecond(at) * step.Seconds(); expected > 0; expected-- {
+			for expected := k.perSecond(at) * loadStep.Seconds(); expected > 0; expected-- {
 				if l.random.Float64() < expected {
 					l.submit(now, l.random.IntN(l.instances), k)
 				}
@@ -134,23 +141,8 @@
 }
 
 func (l *sharedLoad) at(at time.Duration, call func(now time.Time)) {
-	when := l.start.Add(at)
-	l.calls = append(l.calls, timedCall{at: when, call: func() { call(when) }})
-}
-
-func (l *sharedLoad) callDue(now time.Time) {
-	due := l.calls
-	l.calls = nil
-	var later []timedCall
-	slices.SortStableFunc(due, func(a, b timedCall) int { return a.at.Compare(b.at) })
-	for _, c := range due {
-		if c.at.After(now) {
-			later = append(later, c)
-			continue
-		}
-		c.call()
-	}
-	l.calls = append(l.calls, later...)
+	due := at.Truncate(loadStep) + loadStep
+	l.calls[due] = append(l.calls[due], call)
 }
 
 // exchange sends an instance's state to all others and repeats that every 200 ms.
@@ -225,6 +217,12 @@
 			delete(l.active, d.ID)
 			for _, r := range a.result {
 				r.refused[d.Reason]++
+				if d.Reason == LessUrgent || d.Reason == OverShare {
+					r.delays += d.RetryAfter
+					if now.After(a.arrived) {
+						r.held++
+					}
+				}
 				r.longestWait = max(r.longestWait, now.Sub(a.arrived))
 			}
 		}
@@ -273,6 +271,8 @@
 		c.Check(shared["priority 0"].share() >= shared["priority 1"].share(), qt.IsTrue)
 		c.Check(shared["priority 1"].share() >= shared["priority 2"].share()-0.02, qt.IsTrue)
 		c.Check(shared["priority 2"].share() >= 0.4*mean, qt.IsTrue)
+		c.Check(shared["all"].held, qt.Equals, 0)
+		c.Check(shared["priority 1"].meanDelay() < shared["priority 2"].meanDelay(), qt.IsTrue)
 		c.Check(mean >= 0.97*0.5, qt.IsTrue) // The slots are enough for half of all.
 		if instances > 1 {                   // One instance alone has strict priorities, and starves the last.
 			c.Check(shared["priority 0"].share() >= alone["priority 0"].share(), qt.IsTrue)
--- a/shared/admission/shares.go
+++ b/shared/admission/shares.go
@@ -60,6 +60,9 @@
 	for _, o := range d.named(at) {
 		demands[o.Organisation] = 0
 	}
+	for name := range before { // Named until now; a gap would end the hold.
+		demands[name] = 0
+	}
 	for _, p := range d.peers {
 		if at.Sub(p.at) > demandAge {
 			continue
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -258,7 +258,7 @@
 			return []Effect{d}
 		}
 	}
-	allowedWait := s.allowedWait(r)
+	allowedWait := s.allowedWaitOf(e)
 	if wait, reason := st.serviceWait(at, s, nil, ahead); wait > allowedWait {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: unavailableRetryAfter(wait, reason), Reason: reason, Queued: s.waiting.length, ExpectedWait: wait}}
 	}
