--- a/shared/admission/pressure_test.go
+++ b/shared/admission/pressure_test.go
@@ -433,3 +433,20 @@
 		}
 	}
 }
+
+// Requests of one priority without organisations, at twice the capacity, and requests of three
+// priorities that all find room, are served exactly as without shared demand.
+func TestSharedDemandChangesNothingWhereItDoesNotApply(t *testing.T) {
+	same := threePriorities(240)[:1]
+	same[0].perSecond = steady(240)
+	for _, kinds := range [][]loadKind{same, threePriorities(90)} {
+		load := sharedLoad{instances: 4, targets: 12, duration: 20 * time.Second, kinds: kinds}
+		shared := load.run(7)
+		load.alone = true
+		alone := load.run(7)
+		for name, r := range alone {
+			qt.Check(t, []int{shared[name].sent, shared[name].served}, qt.DeepEquals, []int{r.sent, r.served})
+			qt.Check(t, shared[name].refused, qt.DeepEquals, r.refused)
+		}
+	}
+}
