--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -122,7 +122,20 @@
 			effects = st.moveFromSlowRanks(at)
 		}
 		return append(effects, st.dispatchAllWaiting(at)...)
+	case PeerDemand:
+		for _, s := range st.services {
+			delete(s.demand.peers, e.Peer)
+		}
+		for _, reported := range e.Services {
+			if s, ok := st.services[reported.Service]; ok {
+				s.demand.setPeer(at, e.Peer, reported)
+			}
+		}
+		return nil
 	case PeerLost:
+		for _, s := range st.services {
+			delete(s.demand.peers, e.Peer)
+		}
 		st.peerLoads.set(e.Peer, nil)
 		delete(st.groupReports, e.Peer)
 		st.setClosedGroups()
@@ -166,6 +179,13 @@
 	Targets, Waiting, Limit int
 	// Gap is the smoothed gap between events in the slowest group.
 	Gap time.Duration
+	// Pressure is true while requests lack room. Chance is the part of all requests that
+	// finds room, Admitted the part of each priority that is admitted without spare room, and
+	// Shares the part of the requests of organisations above their share that is within it.
+	Pressure bool
+	Chance   float64
+	Admitted map[int]float64
+	Shares   map[string]float64
 }
 
 // Summaries returns a summary of each service, by name.
@@ -180,6 +200,9 @@
 		for _, p := range s.passModels {
 			summary.Gap = max(summary.Gap, p.gap)
 		}
+		if summary.Chance = 1; s.pressure.on {
+			summary.Pressure, summary.Chance, summary.Admitted, summary.Shares = true, s.pressure.chance, s.pressure.admitted(), maps.Clone(s.pressure.shares)
+		}
 		all[name] = summary
 	}
 	return all
@@ -195,8 +218,7 @@
 	return s
 }
 
-// submit dispatches a request, queues it, or refuses it if the expected wait exceeds the
-// allowed one.
+// submit admits a request or refuses it.
 func (st *State) submit(at time.Time, r Request) []Effect {
 	s := st.service(r.Service)
 	s.maxGap = max(s.maxGap, r.MaxGap)
@@ -211,19 +233,39 @@
 	if st.allClosed(at, s) {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: GroupClosedRetryAfter, Reason: GroupClosed}}
 	}
-	ahead := s.waiting.ahead(r.Priority)
-	if ahead == 0 {
+	changes := st.updatePressure(at, r.Service, s)
+	if reason, refused := st.thin(at, s, e); refused {
+		return append(changes, s.refuse(at, Refuse{ID: r.ID, RetryAfter: s.pressureDelay(r), Reason: reason, Queued: s.waiting.length}, r.Priority))
+	}
+	return append(changes, st.admit(at, s, e)...)
+}
+
+// refuse counts a refusal for want of room and returns it.
+func (s *service) refuse(at time.Time, r Refuse, priority int) Refuse {
+	switch r.Reason {
+	case QueueFull, WaitedTooLong, LessUrgent:
+		s.demand.level(priority).refused.add(at, 1)
+	}
+	return r
+}
+
+// admit dispatches a request, queues it, or refuses it if the expected wait exceeds the
+// allowed one.
+func (st *State) admit(at time.Time, s *service, e *activeRequest) []Effect {
+	r := e.request
+	ahead := s.waiting.ahead(e.rank())
+	if ahead == 0 && st.leavesRoom(at, s, e) {
 		if d, ok := st.dispatch(at, s, e); ok {
 			return []Effect{d}
 		}
 	}
-	allowedWait := s.allowedWait(r)
+	allowedWait := s.allowedWaitOf(e)
 	if wait, reason := st.serviceWait(at, s, nil, ahead); wait > allowedWait {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: unavailableRetryAfter(wait, reason), Reason: reason, Queued: s.waiting.length, ExpectedWait: wait}}
 	}
 	expected := s.expectedWait(ahead)
 	if expected > allowedWait {
-		return []Effect{Refuse{ID: r.ID, RetryAfter: retryAfter(expected), Reason: QueueFull, Queued: s.waiting.length, ExpectedWait: expected}}
+		return []Effect{s.refuse(at, Refuse{ID: r.ID, RetryAfter: retryAfter(expected), Reason: QueueFull, Queued: s.waiting.length, ExpectedWait: expected}, r.Priority)}
 	}
 	e.refuseAt = at.Add(allowedWait)
 	st.requests[r.ID] = e
@@ -449,6 +491,9 @@
 	for s.waiting.length > 0 {
 		var d Dispatch
 		if s.waiting.take(func(e *activeRequest) (ok bool) {
+			if !st.leavesRoom(at, s, e) {
+				return false
+			}
 			d, ok = st.dispatch(at, s, e)
 			return ok
 		}) == nil {
@@ -496,16 +541,20 @@
 	st.quarantine.forget(at)
 	st.limits.forget(at, st.hasTarget)
 	st.notices.forget(at, st.hasTarget)
-	effects := st.dispatchAllWaiting(at)
+	var effects []Effect
+	for _, name := range slices.Sorted(maps.Keys(st.services)) {
+		effects = append(effects, st.updatePressure(at, name, st.services[name])...)
+	}
+	effects = append(effects, st.dispatchAllWaiting(at)...)
 	for _, name := range slices.Sorted(maps.Keys(st.services)) {
 		s := st.services[name]
 		expired := s.waiting.remove(func(e *activeRequest) bool { return !at.Before(e.refuseAt) })
 		for _, e := range sortByID(expired) {
 			delete(st.requests, e.request.ID)
-			effects = append(effects, Refuse{
+			effects = append(effects, s.refuse(at, Refuse{
 				ID: e.request.ID, RetryAfter: retryAfter(s.expectedWait(s.waiting.length)),
 				Reason: WaitedTooLong, Queued: s.waiting.length, ExpectedWait: at.Sub(e.queuedSince),
-			})
+			}, e.request.Priority))
 		}
 	}
 	return effects
