Keep the limit of a group through short shifts of its demand

Cause: after each shift of the demand for experts passes take twice as long for some 0.4 s, until the map has followed. Change: the ratio of passes falls at once and rises with a half-life of 2 s.

--- a/shared/admission/limit.go
+++ b/shared/admission/limit.go
@@ -12,7 +12,10 @@
 	// Reading prompts lengthens a pass by up to half.
 	gapShare = 0.72
 	// gapHalfLife is the half-life of the smoothed gaps; a pass takes about 0.1 s.
-	gapHalfLife = 400 * time.Millisecond
+	gapHalfLife = 150 * time.Millisecond
+	// riseHalfLife is the half-life with which the usual ratio rises. Passes that are long
+	// until the expert map has followed a shift, in about half a second, raise it little.
+	riseHalfLife = 2 * time.Second
 	// initialRatio is the ratio of the actual to the modelled pass that is assumed
 	// before the first measurement. With an expert map that does not match the demand,
 	// a pass takes three times as long.
@@ -27,11 +30,11 @@
 // passModel estimates the duration of a group's passes from measured gaps. All ranks of a
 // group execute a pass together; it produces one event of each running stream.
 type passModel struct {
-	// ratio is the smoothed ratio of the measured to the modelled pass; 0 before the
-	// first measurement.
-	ratio float64
-	gap   time.Duration // Smoothed gap between events.
-	at    time.Time     // Time of the last measurement.
+	// latest is the smoothed ratio of the measured to the modelled pass; 0 before the first
+	// measurement. ratio follows it down at once and up slowly.
+	latest, ratio float64
+	gap           time.Duration // Smoothed gap between events.
+	at            time.Time     // Time of the last measurement.
 	// lastOutput is when the group last produced output, or received a request while
 	// it was idle.
 	lastOutput time.Time
@@ -67,18 +70,24 @@
 		observed = max(1, (float64(gap)-slowDelay)/float64(modelledPass(e, running)))
 	}
 	observed = min(maxRatio, observed)
-	if p.ratio == 0 {
-		p.ratio, p.gap, p.at = observed, gap, at
+	if p.latest == 0 {
+		p.latest, p.ratio, p.gap, p.at = observed, observed, gap, at
 		return
 	}
 	// Streams of one pass report their gaps together, so the weight grows with the
 	// time since the last measurement.
-	weight := 1 - math.Exp2(-float64(max(at.Sub(p.at), time.Millisecond))/float64(gapHalfLife))
-	p.ratio += weight * (observed - p.ratio)
-	p.gap += time.Duration(weight * float64(gap-p.gap))
+	elapsed := max(at.Sub(p.at), time.Millisecond)
+	p.latest += weightAfter(elapsed, gapHalfLife) * (observed - p.latest)
+	p.ratio = min(p.latest, p.ratio+weightAfter(elapsed, riseHalfLife)*(p.latest-p.ratio))
+	p.gap += time.Duration(weightAfter(elapsed, gapHalfLife) * float64(gap-p.gap))
 	p.at = at
 }
 
+// weightAfter returns the weight of a measurement that follows the last one after a time.
+func weightAfter(elapsed, halfLife time.Duration) float64 {
+	return 1 - math.Exp2(-float64(elapsed)/float64(halfLife))
+}
+
 // plan chooses the pace up to which ranks receive requests and the limit of requests per
 // rank, for the highest throughput with events on time. It sets maxUsedPace and returns
 // the limit. A pass does not wait for a slow rank without requests, so excluding that
