Compare response times of data centres with a tolerance and an age

Change: in the choice between data centres only a ratio above two counts, in place of the comparison with the service's mean, and for 5 s.

--- a/shared/admission/placement.go
+++ b/shared/admission/placement.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 const (
 	// localPreference is the least penalty, in running requests, of a target in another
 	// data centre.
@@ -11,6 +13,12 @@
 	// plainReserve is the fraction of a plain target's limit that must be free for it to be
 	// preferred: beyond, its requests wait for each other.
 	plainReserve = 0.5
+	// similarTimes is the ratio up to which the times to first output of two targets count
+	// as equal: requests differ as much.
+	similarTimes = 2
+	// timesMemory is the age from which a time to first output no longer counts in the
+	// choice between data centres, so that a target that was slow is tried again.
+	timesMemory = 5 * time.Second
 )
 
 // placement decides whether a request is sent to another data centre.
@@ -36,14 +44,16 @@
 // choose returns the better one of the best targets of this and of the other data
 // centres. The preference for this one shrinks with its room, so that requests move
 // gradually and every target fills up.
-func (p placement) choose(s *service, home, remote candidate) candidate {
+func (p placement) choose(at time.Time, s *service, home, remote candidate) candidate {
 	switch {
 	case home.target == nil:
 		return remote
 	case remote.target == nil:
 		return home
 	}
-	home.room -= s.slowness(home.target, remote.target)
+	// The mean of the service does not show a slow data centre if most requests stay in it.
+	home.room += s.latencyPenalty(home.target) - s.slowness(at, home.target, remote.target)
+	remote.room += s.latencyPenalty(remote.target) - s.slowness(at, remote.target, home.target)
 	unused := home.room
 	if s.Engine == nil {
 		unused -= plainReserve * float64(home.limit)
@@ -56,11 +66,10 @@
 }
 
 // slowness returns the penalty, in running requests, of a target of a plain service that
-// responds more slowly than another one. The mean of the service does not show it if most
-// requests stay in one data centre.
-func (s *service) slowness(t, other *target) float64 {
-	if s.Engine != nil || t.timeToFirstOutput == 0 || other.timeToFirstOutput == 0 {
+// responds more slowly than another one.
+func (s *service) slowness(at time.Time, t, other *target) float64 {
+	if s.Engine != nil || other.timeToFirstOutput == 0 || at.Sub(t.measuredAt) > timesMemory {
 		return 0
 	}
-	return max(0, float64(t.timeToFirstOutput)/float64(other.timeToFirstOutput)-1)
+	return max(0, float64(t.timeToFirstOutput)/float64(other.timeToFirstOutput)-similarTimes)
 }
--- a/shared/admission/placement_test.go
+++ b/shared/admission/placement_test.go
@@ -160,17 +160,20 @@
 		running int
 		isHome  bool
 	}{
-		"free":    {running: 1, isHome: true},
-		"busy":    {running: 2},
-		"slow":    {home: target{timeToFirstOutput: 60 * time.Millisecond}},
-		"failing": {home: target{failures: 0.4}},
+		"free":     {running: 1, isHome: true},
+		"busy":     {running: 2},
+		"slow":     {home: target{timeToFirstOutput: 80 * time.Millisecond, measuredAt: now}},
+		"similar":  {home: target{timeToFirstOutput: 28 * time.Millisecond, measuredAt: now}, running: 1, isHome: true},
+		"was slow": {home: target{timeToFirstOutput: 80 * time.Millisecond, measuredAt: now.Add(-2 * timesMemory)}, isHome: true},
+		"failing":  {home: target{failures: 0.4}},
 	} {
 		st := New("entry-a", "a", RetryBudget{})
 		st.Reduce(now, ServiceTargets{Service: fleet.Service{Name: testService}, Targets: []fleet.Target{
 			{ID: "home", DataCentre: "a", Slots: 6}, {ID: "remote", DataCentre: "b", Slots: 6},
 		}})
 		targets := st.service(testService).targets
-		targets["home"].failures, targets["home"].timeToFirstOutput = load.home.failures, load.home.timeToFirstOutput
+		home := targets["home"]
+		home.failures, home.timeToFirstOutput, home.measuredAt = load.home.failures, load.home.timeToFirstOutput, load.home.measuredAt
 		targets["remote"].timeToFirstOutput = 15 * time.Millisecond
 		st.Reduce(now, PeerLoad{Peer: "entry-b", Running: map[string]int{"home": load.running}})
 		d := st.Reduce(now, Submit{Request: Request{ID: 1, Service: testService}})[0].(Dispatch)
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -209,7 +209,7 @@
 			*best = candidate{target: t, running: running, limit: limit - extra, room: room}
 		}
 	}
-	best := st.placement.choose(s, home, remote)
+	best := st.placement.choose(at, s, home, remote)
 	if t := best.target; t != nil {
 		s.searchOffset++
 		t.takeTokens()
--- a/shared/admission/target.go
+++ b/shared/admission/target.go
@@ -35,6 +35,7 @@
 	failures float64
 	// timeToFirstOutput is smoothed; 0 before the first measurement.
 	timeToFirstOutput  time.Duration
+	measuredAt         time.Time // When timeToFirstOutput was last measured.
 	connectionFailures int       // Since the last success.
 	backoffUntil       time.Time // No requests are sent before this time.
 	// outstanding is the work of this instance's requests.
@@ -56,7 +57,7 @@
 	t.failures += failureWeight * (failed - t.failures)
 	switch e.Outcome {
 	case Good:
-		t.connectionFailures = 0
+		t.connectionFailures, t.measuredAt = 0, at
 		if t.timeToFirstOutput == 0 {
 			t.timeToFirstOutput = e.TimeToFirstOutput
 		}
