--- a/shared/admission/placement.go
+++ b/shared/admission/placement.go
@@ -8,7 +8,7 @@
 	localPreference = 0.25
 	// maxPreference bounds the penalty of a target in another data centre, as a fraction
 	// of the home target's limit. The ranks of a group execute each pass together, and the
-	// part of a pass that is a rank's own grows by less than 1% with each running request.
+	// part of a pass that is a rank's own grows little with each running request.
 	maxPreference = 0.3
 	// plainReserve is the fraction of a plain target's limit that must be free for it to be
 	// preferred: beyond, its requests wait for each other.
