--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: setup build-platform soak demo test lint model measure capacity fuzz bench build generate
+.PHONY: setup build-platform soak demo test lint model measure capacity compare fuzz bench build generate
 
 setup:
 	@command -v spin >/dev/null 2>&1 || { apt-get update -qq && apt-get install -y -qq spin gcc make; } >/dev/null
@@ -74,6 +74,11 @@
 capacity:
 	go run ./measure --only capacity $(ARGS)
 
+# Scores of the users' bench against docs/measurements/base-scores.tsv: BENCH, SITES, and
+# ARGS, OUT and ONLY as measure/compare.sh says.
+compare:
+	@BENCH='$(BENCH)' SITES='$(SITES)' ARGS='$(ARGS)' OUT='$(OUT)' ONLY='$(ONLY)' ./measure/compare.sh
+
 generate:
 	protoc --go_out=. --go_opt=module=chervilswitch.example -I shared/peer shared/peer/peer.proto
 	cd entry/api && go run github.com/ogen-go/ogen/cmd/ogen@v1.24.0 --target . --package api --clean --config ogen.yml openapi.yaml
