Let checkers read the store seldom while others cover them

Without trouble some 28 a second: checkers' reads of the targets' topic each 5 s and polls of 8 s on the two others, and readers of data centres at 0.5 s. Change: a checker reads targets each 20 s and polls for 25 s, as long as messages of others raise the end of the targets' topic within 1.5 s and confirm the configuration within 3 s. Otherwise it reads at once, and a poll that may hang is replaced. Before, no bound held while all readers were refused. Local readers read each 1.3 s. Fleets of up to 8 are as before.

--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -153,7 +153,7 @@
 	follower := &store.Follower{
 		Store: r.store, Sink: r.core, Logger: r.logger,
 		OnEntryRecords: r.registerEntries, OnEntriesRestored: r.rewriteEntryRecords,
-		OnChange: r.entries.ForwardRecords, Pace: r.storePace,
+		OnChange: r.entries.ForwardRecords, Pace: r.storePace, Coverage: r.storeCoverage,
 	}
 	leadership := &planner.Leadership{Instance: r.options.Instance, Store: r.store, Leads: r.entries.Leads, Logger: r.logger}
 	r.entries.Duty, r.entries.Unable = leadership.Token, leadership.StoreUnreachable
@@ -174,15 +174,21 @@
 // storePace returns how often this instance reads the store.
 func (r *Router) storePace() store.Pace {
 	switch role, small := r.entries.ReaderRole(); {
-	case role >= entries.LocalReader:
+	case role == entries.Reader:
 		return store.ReaderPace
-	case small || role == entries.Uncovered:
+	case small || role >= entries.Uncovered:
 		return store.NonReaderPace
 	default:
 		return store.CheckerPace
 	}
 }
 
+// storeCoverage returns what this instance knows of the store from others.
+func (r *Router) storeCoverage() store.Coverage {
+	end, at := r.entries.Held(fleet.TargetTopic)
+	return store.Coverage{Targets: end, TargetsAt: at, ConfirmedAt: r.core.ConfirmedAt()}
+}
+
 // servePeer handles a stream that another entry instance has opened.
 func (r *Router) servePeer(ctx context.Context, first *peer.Open, stream *peer.Stream) {
 	if state := first.GetEntry(); state != nil {
--- a/router/entries/dissemination.go
+++ b/router/entries/dissemination.go
@@ -251,6 +251,14 @@
 	return end
 }
 
+// Held returns the position up to which complete messages cover a topic, and when a message
+// last raised it.
+func (m *Membership) Held(topic fleet.Topic) (fleet.Position, time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.held[topic], m.heldAt[topic]
+}
+
 // reportedEnds returns the positions up to which the sender of a message knows the topics.
 func reportedEnds(state *peer.EntryUpdate) map[fleet.Topic]fleet.Position {
 	return map[fleet.Topic]fleet.Position{
@@ -276,6 +284,7 @@
 		for topic, end := range reportedEnds(state) {
 			if m.held[topic].Before(end) {
 				m.held[topic] = end
+				m.heldAt[topic] = m.coveredAt
 			}
 		}
 		m.mutex.Unlock()
--- a/router/entries/entries.go
+++ b/router/entries/entries.go
@@ -95,8 +95,10 @@
 	stopping bool
 	groups   admission.GroupReport // This instance's report as the leader; empty otherwise.
 	members  map[string]*member
-	// held holds the positions up to which complete messages of others cover the topics.
+	// held holds the positions up to which complete messages of others cover the topics, and
+	// heldAt when they last rose.
 	held      map[fleet.Topic]fleet.Position
+	heldAt    map[fleet.Topic]time.Time
 	coveredAt time.Time // When the last complete message arrived.
 
 	// listed is closed when the registrations have been listed once. Use Listed to close it.
@@ -136,7 +138,7 @@
 	return &Membership{
 		ctx: ctx, self: self, registration: registration, core: state, logger: logger,
 		listed:  make(chan struct{}),
-		members: make(map[string]*member), held: make(map[fleet.Topic]fleet.Position), Duty: func() uint64 { return 0 }, Unable: func() bool { return false },
+		members: make(map[string]*member), held: make(map[fleet.Topic]fleet.Position), heldAt: make(map[fleet.Topic]time.Time), Duty: func() uint64 { return 0 }, Unable: func() bool { return false },
 	}
 }
 
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -12,6 +12,7 @@
 	"chervilswitch.example/router/core"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
+	"chervilswitch.example/shared/wait"
 
 	"github.com/apex/log"
 )
@@ -22,14 +23,18 @@
 	longPollTimeout = 2 * time.Second
 	// checkerPollTimeout is the longPollTimeout of the operators' topic at instances that
 	// also learn from others that their configuration is current.
-	checkerPollTimeout = 8 * time.Second
+	checkerPollTimeout = 25 * time.Second
 	// entryPollTimeout is the longPollTimeout of the topic of entry instances. It is
 	// longer because entry instances also exchange their state directly.
-	entryPollTimeout = 8 * time.Second
+	// checkerEntryPollTimeout is that of checkers.
+	entryPollTimeout        = 8 * time.Second
+	checkerEntryPollTimeout = 25 * time.Second
 	// entryInterval is the pause between the reads of the topic of entry instances. When all
 	// of them start at once, each registration would otherwise end a read of each of them.
-	// Instances also register with each other when they connect.
-	entryInterval = time.Second
+	// Instances also register with each other when they connect. checkerEntryInterval is that
+	// of checkers, so that a rolling restart of many instances ends few reads of each.
+	entryInterval        = time.Second
+	checkerEntryInterval = 5 * time.Second
 	// readerInterval is the pause between the reads of the targets' topic by a reader.
 	// Each heartbeat is a record there, so long polls would return too often. A draining
 	// target must receive no new requests after 2 s.
@@ -37,17 +42,35 @@
 	// nonReaderInterval is the pause between the reads of the targets' topic by other
 	// instances, which receive its records from a reader as well.
 	nonReaderInterval = 1300 * time.Millisecond
-	// checkerInterval is the nonReaderInterval where several readers serve each instance.
-	checkerInterval = 5 * time.Second
+	// checkerInterval is the nonReaderInterval where several readers serve each instance and
+	// their messages show that the topic goes on. quietInterval is that while no message shows
+	// it, but neither does a read.
+	checkerInterval = 20 * time.Second
+	quietInterval   = 5 * time.Second
+	// targetsHeardWithin is how long ago others must have shown a later end of the targets'
+	// topic. It is shorter than the 2 s after which a draining target gets no new requests,
+	// and longer than the readers' interval and that of messages together.
+	targetsHeardWithin = 1500 * time.Millisecond
+	// confirmedWithin is how long ago the configuration must have been confirmed while a
+	// checker's long poll of the operators' topic goes on. It exceeds longPollTimeout and
+	// the interval of messages, and is below the 4 s from which denials are no longer final.
+	confirmedWithin = 3 * time.Second
+	// coverageInterval is how often a checker compares what it hears with these bounds.
+	coverageInterval = 200 * time.Millisecond
 	// retryInterval is the pause between calls while the store is unavailable, and
 	// checkerRetryInterval that of instances for each of which several readers read.
 	retryInterval        = 300 * time.Millisecond
 	checkerRetryInterval = time.Second
 	// followRetryInterval is the longest pause between the calls on a topic while those on
 	// the operators' topic fail as well. They are made at once when that topic is read again.
-	followRetryInterval = 1500 * time.Millisecond
+	// checkerFollowRetryInterval is that of checkers.
+	followRetryInterval        = 1500 * time.Millisecond
+	checkerFollowRetryInterval = 6 * time.Second
 )
 
+// errUncovered ends a long poll that an instance began while others covered it.
+var errUncovered = errors.New("no longer covered by messages of others")
+
 // Pace is how often an instance reads the store.
 type Pace int
 
@@ -55,7 +78,8 @@
 const (
 	// ReaderPace is that of an instance that reads for others.
 	ReaderPace Pace = iota
-	// NonReaderPace is that of other instances.
+	// NonReaderPace is that of other instances in small fleets, and of those in large ones
+	// that read for their data centre or that hear nobody.
 	NonReaderPace
 	// CheckerPace is that of instances for each of which several readers read.
 	CheckerPace
@@ -81,6 +105,49 @@
 	return retryInterval
 }
 
+// followRetryInterval returns the pause between two calls on a topic while those on the
+// operators' topic fail as well.
+func (p Pace) followRetryInterval() time.Duration {
+	if p == CheckerPace {
+		return checkerFollowRetryInterval
+	}
+	return followRetryInterval
+}
+
+// pollTimeout returns how long a read of a topic waits for a record.
+func (p Pace) pollTimeout(topic fleet.Topic) time.Duration {
+	switch {
+	case topic == fleet.TargetTopic:
+		return 0
+	case topic == fleet.EntryTopic && p == CheckerPace:
+		return checkerEntryPollTimeout
+	case topic == fleet.EntryTopic:
+		return entryPollTimeout
+	case p == CheckerPace:
+		return checkerPollTimeout
+	default:
+		return longPollTimeout
+	}
+}
+
+// entryInterval returns the pause between two reads of the topic of entry instances.
+func (p Pace) entryInterval() time.Duration {
+	if p == CheckerPace {
+		return checkerEntryInterval
+	}
+	return entryInterval
+}
+
+// Coverage is how current an instance is by the messages of others.
+type Coverage struct {
+	// Targets is the end of the targets' topic up to which messages cover it, and TargetsAt
+	// when it last rose.
+	Targets   fleet.Position
+	TargetsAt time.Time
+	// ConfirmedAt is when the configuration was last known to be current.
+	ConfirmedAt time.Time
+}
+
 // Sink receives records from the store and the store's availability.
 type Sink interface {
 	// ApplyRecords applies records and reports whether anything except a heartbeat
@@ -108,6 +175,9 @@
 	OnChange func()
 	// Pace returns how often this instance reads.
 	Pace func() Pace
+	// Coverage returns what this instance knows from others. A checker reads by itself when
+	// they fall behind.
+	Coverage func() Coverage
 
 	mutex       sync.Mutex
 	unavailable bool
@@ -145,24 +215,70 @@
 		}
 		pause := time.Duration(0)
 		switch {
+		case errors.Is(err, errUncovered):
+			continue
 		case isOutdated(err):
 			listed = false
 		case err != nil:
 			pause = f.Pace().retryInterval()
-		case topic == fleet.TargetTopic:
-			listed, pause = true, f.Pace().targetInterval()
 		case topic == fleet.EntryTopic:
-			listed, pause = true, entryInterval
+			listed, pause = true, f.Pace().entryInterval()
 		default:
 			listed = true
 		}
 		if ctx.Err() == nil {
 			f.updateAvailability(topic, err)
 		}
+		if topic == fleet.TargetTopic && err == nil {
+			f.waitForTargets(ctx, from)
+			continue
+		}
 		f.wait(ctx, topic, err, pause)
 	}
 }
 
+// waitForTargets waits until the targets' topic is to be read again after a read up to an
+// end. An instance of which others fall silent, or whose pace changes, doesn't wait for the
+// end of a longer interval.
+func (f *Follower) waitForTargets(ctx context.Context, end fleet.Position) {
+	readAt, behind := time.Now(), f.Coverage().Targets.Before(end)
+	for {
+		left := f.targetInterval(readAt, behind) - time.Since(readAt)
+		if left <= 0 || !wait.Sleep(ctx, min(left, coverageInterval)) {
+			return
+		}
+	}
+}
+
+// targetInterval returns the pause after a read of the targets' topic at a time, after which
+// messages were behind the topic's end or not. A checker reads as often as in a small fleet
+// while no message shows a later end, unless its own reads since then show that there is none.
+func (f *Follower) targetInterval(readAt time.Time, behind bool) time.Duration {
+	pace, silentFrom := f.Pace(), f.Coverage().TargetsAt.Add(targetsHeardWithin)
+	switch {
+	case pace != CheckerPace || time.Now().Before(silentFrom):
+		return pace.targetInterval()
+	case behind || readAt.Before(silentFrom):
+		return nonReaderInterval
+	default:
+		return quietInterval
+	}
+}
+
+// endWhenUncovered cancels a checker's long poll of the operators' topic when the checker is
+// no longer covered. The poll may have gone silent.
+func (f *Follower) endWhenUncovered(ctx context.Context, cancel context.CancelCauseFunc) {
+	for wait.Sleep(ctx, coverageInterval) {
+		if f.Pace() != CheckerPace || !f.isConfirmed() {
+			cancel(errUncovered)
+			return
+		}
+	}
+}
+
+// isConfirmed reports whether the configuration was known to be current a short time ago.
+func (f *Follower) isConfirmed() bool { return time.Since(f.Coverage().ConfirmedAt) <= confirmedWithin }
+
 // wait waits for a pause. After an error on another topic than the operators' it waits
 // until that topic can be read, at most for followRetryInterval, so that only one call at a
 // time finds out whether the store is back.
@@ -174,7 +290,7 @@
 		case <-readable: // Only this topic fails.
 			readable = nil
 		default:
-			pause = followRetryInterval
+			pause = f.Pace().followRetryInterval()
 		}
 	}
 	select {
@@ -215,14 +331,10 @@
 // read reads the records of a topic from a position on and returns the position for the
 // next read.
 func (f *Follower) read(ctx context.Context, topic fleet.Topic, from fleet.Position) (fleet.Position, error) {
-	wait := longPollTimeout
-	switch {
-	case topic == fleet.TargetTopic:
-		wait = 0
-	case topic == fleet.EntryTopic:
-		wait = entryPollTimeout
-	case f.Pace() == CheckerPace:
-		wait = checkerPollTimeout
+	pollTimeout := f.Pace().pollTimeout(topic)
+	endsWhenUncovered := pollTimeout > longPollTimeout && topic == fleet.OperatorTopic
+	if endsWhenUncovered && !f.isConfirmed() {
+		pollTimeout, endsWhenUncovered = longPollTimeout, false
 	}
 	readContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -231,9 +343,12 @@
 	if known > from.Era { // Another topic has shown it while this one was not read.
 		return from, platform.ErrRestored.New("read of topic %s from era %d: a listing was of era %d", topic, from.Era, known)
 	}
-	records, next, err := f.Store.Read(readContext, topic, from, wait)
-	if err != nil && errors.Is(context.Cause(readContext), platform.ErrRestored) {
-		return from, context.Cause(readContext)
+	if endsWhenUncovered {
+		go f.endWhenUncovered(readContext, cancel)
+	}
+	records, next, err := f.Store.Read(readContext, topic, from, pollTimeout)
+	if cause := context.Cause(readContext); err != nil && (errors.Is(cause, platform.ErrRestored) || errors.Is(cause, errUncovered)) {
+		return from, cause
 	}
 	if err != nil {
 		return from, err
