Tell refused readers of a large fleet what checkers read

Cause: with all readers refused by the store, checkers learned of a draining target in about a second, but sent it to the readers 1.2 s later; these knew it after 2.46 s. Change: checkers count as uncovered after 1.2 s without a later end of the targets' topic, and forward targets' records after 0.6 s.

--- a/router/entries/dissemination.go
+++ b/router/entries/dissemination.go
@@ -23,8 +23,11 @@
 	// away need them from others.
 	operatorForwardDelay = 150 * time.Millisecond
 	// lateForwardDelay is how long the other instances wait for a forwarder before they
-	// send a record themselves.
-	lateForwardDelay = 1200 * time.Millisecond
+	// send an operators' record themselves. lateTargetForwardDelay is that of a targets'
+	// record, of which a forwarder sends no other copy: two state messages later its receiver
+	// has reported that it has it.
+	lateForwardDelay       = 1200 * time.Millisecond
+	lateTargetForwardDelay = 600 * time.Millisecond
 	// loadsAge is how old the numbers of running requests in a message may be.
 	loadsAge = 100 * time.Millisecond
 )
@@ -107,7 +110,7 @@
 	case role == Reader, role == LocalReader && mb.instance.DataCentre == m.self.DataCentre:
 		return map[fleet.Topic]time.Duration{fleet.OperatorTopic: operatorForwardDelay}
 	default:
-		return map[fleet.Topic]time.Duration{fleet.OperatorTopic: lateForwardDelay, fleet.TargetTopic: lateForwardDelay}
+		return map[fleet.Topic]time.Duration{fleet.OperatorTopic: lateForwardDelay, fleet.TargetTopic: lateTargetForwardDelay}
 	}
 }
 
--- a/router/entries/dissemination_test.go
+++ b/router/entries/dissemination_test.go
@@ -257,6 +257,32 @@
 	c.Assert(time.Since(other.core.ConfirmedAt()) < 2*time.Second, qt.IsTrue)
 }
 
+// The time at which messages last covered more of the targets' topic stands still while only
+// others speak that know no more.
+func TestHeldRisesWithTheTopicOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		nodes := newFleet(t, 12)
+		hear := func(from int, end int64) (fleet.Position, time.Duration) {
+			time.Sleep(stateInterval)
+			nodes[7].membership.applyState(&peer.EntryUpdate{
+				Instance: instance(from).Name, Incarnation: 1, Complete: true, TargetEra: 1, TargetEnd: end,
+			}, &inbound{})
+			position, at := nodes[7].membership.Held(fleet.TargetTopic)
+			return position, time.Since(at)
+		}
+		_, age := hear(0, 5)
+		c.Check(age, qt.Equals, time.Duration(0))
+		_, age = hear(1, 5)
+		c.Check(age, qt.Equals, stateInterval)
+		_, age = hear(2, 3) // It lags behind.
+		c.Check(age, qt.Equals, 2*stateInterval)
+		position, age := hear(0, 6)
+		c.Check(age, qt.Equals, time.Duration(0))
+		c.Check(position, qt.Equals, fleet.Position{Era: 1, Offset: 6})
+	})
+}
+
 // An instance to which no complete messages come reads the store more often.
 func TestInstanceWithoutReadersReadsItself(t *testing.T) {
 	synctest.Test(t, instanceWithoutReadersReadsItself)
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -50,7 +50,7 @@
 	// targetsHeardWithin is how long ago others must have shown a later end of the targets'
 	// topic. It is shorter than the 2 s after which a draining target gets no new requests,
 	// and longer than the readers' interval and that of messages together.
-	targetsHeardWithin = 1500 * time.Millisecond
+	targetsHeardWithin = 1200 * time.Millisecond
 	// confirmedWithin is how long ago the configuration must have been confirmed while a
 	// checker's long poll of the operators' topic goes on. It exceeds longPollTimeout and
 	// the interval of messages, and is below the 4 s from which denials are no longer final.
