Let a reader's confirmations cover checkers of quiet topics too

Change: a checker is covered also while the configuration was confirmed within 1.5 s, which a reader's polls show; the two readers of a large fleet poll operators' records for 1 s.

--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -174,8 +174,10 @@
 // storePace returns how often this instance reads the store.
 func (r *Router) storePace() store.Pace {
 	switch role, small := r.entries.ReaderRole(); {
-	case role == entries.Reader:
+	case role == entries.Reader && small:
 		return store.ReaderPace
+	case role == entries.Reader:
+		return store.LargeReaderPace
 	case small || role >= entries.Uncovered:
 		return store.NonReaderPace
 	default:
--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -21,6 +21,9 @@
 	// longPollTimeout is how long the store holds a read until there is a new record. A
 	// connection that has gone silent is noticed after it.
 	longPollTimeout = 2 * time.Second
+	// readerPollTimeout is the longPollTimeout of the operators' topic at instances that read
+	// for a large fleet: the others see by its end that the store serves them.
+	readerPollTimeout = time.Second
 	// checkerPollTimeout is the longPollTimeout of the operators' topic at instances that
 	// also learn from others that their configuration is current.
 	checkerPollTimeout = 25 * time.Second
@@ -48,13 +51,14 @@
 	checkerInterval = 20 * time.Second
 	quietInterval   = 5 * time.Second
 	// targetsHeardWithin is how long ago others must have shown a later end of the targets'
-	// topic. It is shorter than the 2 s after which a draining target gets no new requests,
-	// and longer than the readers' interval and that of messages together.
+	// topic, unless they confirm the configuration. It is longer than the readers' interval
+	// and that of messages together.
 	targetsHeardWithin = 1200 * time.Millisecond
-	// confirmedWithin is how long ago the configuration must have been confirmed while a
-	// checker's long poll of the operators' topic goes on. It exceeds longPollTimeout and
-	// the interval of messages, and is below the 4 s from which denials are no longer final.
-	confirmedWithin = 3 * time.Second
+	// confirmedWithin is how long ago a reader must have confirmed the configuration, which
+	// shows that the store serves it. It exceeds readerPollTimeout and the interval of
+	// messages together, and is shorter than the 2 s after which a draining target gets no
+	// new requests.
+	confirmedWithin = 1500 * time.Millisecond
 	// coverageInterval is how often a checker compares what it hears with these bounds.
 	coverageInterval = 200 * time.Millisecond
 	// retryInterval is the pause between calls while the store is unavailable, and
@@ -76,8 +80,10 @@
 
 // The paces, the fastest first.
 const (
-	// ReaderPace is that of an instance that reads for others.
-	ReaderPace Pace = iota
+	// LargeReaderPace is that of an instance that reads for all others of a large fleet.
+	LargeReaderPace Pace = iota
+	// ReaderPace is that of an instance that reads for others in a small fleet.
+	ReaderPace
 	// NonReaderPace is that of other instances in small fleets, and of those in large ones
 	// that read for their data centre or that hear nobody.
 	NonReaderPace
@@ -88,7 +94,7 @@
 // targetInterval returns the pause between two reads of the targets' topic.
 func (p Pace) targetInterval() time.Duration {
 	switch p {
-	case ReaderPace:
+	case ReaderPace, LargeReaderPace:
 		return readerInterval
 	case NonReaderPace:
 		return nonReaderInterval
@@ -123,6 +129,8 @@
 		return checkerEntryPollTimeout
 	case topic == fleet.EntryTopic:
 		return entryPollTimeout
+	case p == LargeReaderPace:
+		return readerPollTimeout
 	case p == CheckerPace:
 		return checkerPollTimeout
 	default:
@@ -252,13 +260,18 @@
 
 // targetInterval returns the pause after a read of the targets' topic at a time, after which
 // messages were behind the topic's end or not. A checker reads as often as in a small fleet
-// while no message shows a later end, unless its own reads since then show that there is none.
+// while no message shows a later end or that the store serves readers, unless its own reads
+// since then show that there is no later end.
 func (f *Follower) targetInterval(readAt time.Time, behind bool) time.Duration {
-	pace, silentFrom := f.Pace(), f.Coverage().TargetsAt.Add(targetsHeardWithin)
+	pace, coverage := f.Pace(), f.Coverage()
+	coveredUntil := coverage.TargetsAt.Add(targetsHeardWithin)
+	if confirmed := coverage.ConfirmedAt.Add(confirmedWithin); confirmed.After(coveredUntil) {
+		coveredUntil = confirmed
+	}
 	switch {
-	case pace != CheckerPace || time.Now().Before(silentFrom):
+	case pace != CheckerPace || time.Now().Before(coveredUntil):
 		return pace.targetInterval()
-	case behind || readAt.Before(silentFrom):
+	case behind || readAt.Before(coveredUntil):
 		return nonReaderInterval
 	default:
 		return quietInterval
