--- a/router/entries/dissemination.go
+++ b/router/entries/dissemination.go
@@ -23,8 +23,11 @@
 	// away need them from others.
 	operatorForwardDelay = 150 * time.Millisecond
 	// lateForwardDelay is how long the other instances wait for a forwarder before they
-	// send a record themselves.
-	lateForwardDelay = 1200 * time.Millisecond
+	// send an operators' record themselves. lateTargetForwardDelay is that of a targets'
+	// record, of which a forwarder sends no other copy: two state messages later its receiver
+	// has reported that it has it.
+	lateForwardDelay       = 1200 * time.Millisecond
+	lateTargetForwardDelay = 600 * time.Millisecond
 	// loadsAge is how old the numbers of running requests in a message may be.
 	loadsAge = 100 * time.Millisecond
 )
@@ -107,7 +110,7 @@
 	case role == Reader, role == LocalReader && mb.instance.DataCentre == m.self.DataCentre:
 		return map[fleet.Topic]time.Duration{fleet.OperatorTopic: operatorForwardDelay}
 	default:
-		return map[fleet.Topic]time.Duration{fleet.OperatorTopic: lateForwardDelay, fleet.TargetTopic: lateForwardDelay}
+		return map[fleet.Topic]time.Duration{fleet.OperatorTopic: lateForwardDelay, fleet.TargetTopic: lateTargetForwardDelay}
 	}
 }
 
@@ -253,6 +256,14 @@
 	return end
 }
 
+// Held returns the position up to which complete messages cover a topic, and when a message
+// last raised it.
+func (m *Membership) Held(topic fleet.Topic) (fleet.Position, time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.held[topic], m.heldAt[topic]
+}
+
 // reportedEnds returns the positions up to which the sender of a message knows the topics.
 func reportedEnds(state *peer.EntryUpdate) map[fleet.Topic]fleet.Position {
 	return map[fleet.Topic]fleet.Position{
@@ -278,6 +289,7 @@
 		for topic, end := range reportedEnds(state) {
 			if m.held[topic].Before(end) {
 				m.held[topic] = end
+				m.heldAt[topic] = m.coveredAt
 			}
 		}
 		m.mutex.Unlock()
