--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -104,7 +104,7 @@
 		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }() // The connection serves other requests.
 	}
 	x.id, x.decisions = x.router.core.Submit(admission.Request{
-		Service: x.service, Organisation: x.organisation, Priority: x.priority,
+		Service: x.service, Organisation: x.organisation, Priority: x.priority, RoutePriority: x.route.Priority,
 		Objective: x.route.Objective, Elapsed: elapsed, Deadline: x.deadline,
 		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(), SharedParts: x.headers.SharedParts, Identity: x.identity,
 	})
--- a/router/entries/demand.go
+++ b/router/entries/demand.go
@@ -57,7 +57,7 @@
 		encoded.Levels = append(encoded.Levels, zigzag, uint64(l.Waiting), uint64(l.Offered), uint64(l.Refused))
 	}
 	for _, o := range d.Organisations {
-		encoded.Organisations = append(encoded.Organisations, &peer.OrganisationDemand{Organisation: o.Organisation, Offered: uint64(o.Offered)})
+		encoded.Organisations = append(encoded.Organisations, &peer.OrganisationDemand{Organisation: o.Organisation, Offered: uint64(o.Offered), Usual: uint64(o.Usual)})
 	}
 	return encoded
 }
@@ -72,7 +72,7 @@
 		d.Levels = append(d.Levels, admission.LevelDemand{Priority: priority, Waiting: int(numbers[1]), Offered: int(numbers[2]), Refused: int(numbers[3])})
 	}
 	for _, o := range encoded.GetOrganisations() {
-		d.Organisations = append(d.Organisations, admission.OrganisationDemand{Organisation: o.GetOrganisation(), Offered: int(o.GetOffered())})
+		d.Organisations = append(d.Organisations, admission.OrganisationDemand{Organisation: o.GetOrganisation(), Offered: int(o.GetOffered()), Usual: int(o.GetUsual())})
 	}
 	return d
 }
--- a/router/entries/demand_test.go
+++ b/router/entries/demand_test.go
@@ -53,7 +53,7 @@
 	three := send()
 	demand.OverShare = 7
 	for i := range 8 {
-		demand.Organisations = append(demand.Organisations, admission.OrganisationDemand{Organisation: fmt.Sprintf("organisation-%d", i), Offered: 40})
+		demand.Organisations = append(demand.Organisations, admission.OrganisationDemand{Organisation: fmt.Sprintf("organisation-%d", i), Offered: 40, Usual: 5})
 	}
 	sender.own = []admission.ServiceDemand{demand}
 	largest := send()
--- a/shared/admission/demand.go
+++ b/shared/admission/demand.go
@@ -16,6 +16,9 @@
 	// demandAge is how long the demand that a peer reported counts: an instance counts as
 	// silent after as long.
 	demandAge = 1500 * time.Millisecond
+	// usualTime is the time constant of the usual demand of an organisation: many times
+	// that of a burst.
+	usualTime = time.Minute
 	// maxLevels bounds the priorities that are told apart. Less urgent ones count as the
 	// last of them.
 	maxLevels = 8
@@ -49,10 +52,11 @@
 	Offered, Refused int
 }
 
-// OrganisationDemand is an instance's demand of one organisation, as a decayed count.
+// OrganisationDemand is an instance's demand of one organisation, as a decayed count, and
+// what a demand at its usual rate would count.
 type OrganisationDemand struct {
-	Organisation string
-	Offered      int
+	Organisation   string
+	Offered, Usual int
 }
 
 // ServiceDemand is an instance's demand for a service.
@@ -61,7 +65,7 @@
 	Levels  []LevelDemand // The most urgent first.
 	// OverShare counts the requests refused because their organisation is above its share.
 	OverShare int
-	// Organisations names those with much more demand than the others.
+	// Organisations names those with much more demand than usual.
 	Organisations []OrganisationDemand
 }
 
@@ -91,6 +95,7 @@
 	levels        map[int]*levelCounts
 	organisations map[string]*organisationCounts
 	overShare     decayed
+	calm          time.Duration // The time without pressure.
 	peers         map[string]peerDemand
 }
 
@@ -107,9 +112,29 @@
 // organisationCounts counts the requests of one organisation.
 type organisationCounts struct {
 	offered  decayed
+	usual    average
 	admitted accumulator
 }
 
+// average is a rate of requests, smoothed over usualTime. Its time is that without pressure,
+// so that demand beyond the room does not become usual.
+type average struct {
+	count float64
+	at    time.Duration
+}
+
+func (a *average) add(calm time.Duration) { a.count, a.at = a.value(calm)+1, calm }
+
+func (a *average) value(calm time.Duration) float64 {
+	return a.count * math.Exp(-float64(calm-a.at)/float64(usualTime))
+}
+
+// perSecond returns the rate at a time without pressure, at least demandTime.
+func (a *average) perSecond(calm time.Duration) float64 {
+	calm = max(calm, demandTime)
+	return a.value(calm) / ((1 - math.Exp(-float64(calm)/float64(usualTime))) * usualTime.Seconds())
+}
+
 // accumulator selects a part of a sequence of requests, evenly spread.
 type accumulator float64
 
@@ -164,7 +189,9 @@
 func (d *demand) forget(at time.Time) {
 	const negligible = 0.05
 	maps.DeleteFunc(d.levels, func(_ int, l *levelCounts) bool { return l.offered.value(at) < negligible })
-	maps.DeleteFunc(d.organisations, func(_ string, o *organisationCounts) bool { return o.offered.value(at) < negligible })
+	maps.DeleteFunc(d.organisations, func(_ string, o *organisationCounts) bool {
+		return o.offered.value(at) < negligible && o.usual.value(d.calm) < negligible
+	})
 	maps.DeleteFunc(d.peers, func(_ string, p peerDemand) bool { return at.Sub(p.at) > demandAge })
 }
 
@@ -268,7 +295,7 @@
 	}
 	if s.pressure.on {
 		reported.OverShare = rounded(s.demand.overShare.value(at))
-		reported.Organisations = s.demand.named(at)
+		reported.Organisations = s.demand.named(at, s.demand.weights())
 	}
 	return reported, true
 }
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -15,8 +15,9 @@
 	ID           RequestID
 	Service      string
 	Organisation string
-	// Priority orders requests; the lowest number goes first.
-	Priority int
+	// Priority orders requests; the lowest number goes first. RoutePriority, from 0 to 9,
+	// orders those of the same priority.
+	Priority, RoutePriority int
 	// Objective is the latency objective: the time from the caller's first try to the
 	// response, or to the first event of a stream. 0 means none.
 	Objective time.Duration
@@ -38,6 +39,14 @@
 	Identity string
 }
 
+// routePriorities is the number of priorities of routes that are told apart.
+const routePriorities = 10
+
+// combinedPriority returns the priority with that of the route as its last digit.
+func (r *Request) combinedPriority() int {
+	return r.Priority*routePriorities + max(0, min(r.RoutePriority, routePriorities-1))
+}
+
 // parts returns what may crash targets: the shared parts of the prompt, and last the
 // request itself.
 func (r *Request) parts() []string {
--- a/shared/admission/pressure.go
+++ b/shared/admission/pressure.go
@@ -129,6 +129,9 @@
 		return nil
 	}
 	elapsed := at.Sub(p.at)
+	if !p.on && !p.at.IsZero() {
+		s.demand.calm += elapsed
+	}
 	p.at = at
 	s.demand.forget(at)
 	levels := s.allLevels(at)
@@ -250,6 +253,9 @@
 	}
 	if !p.on {
 		counts.offered.add(at, 1)
+		if organisation != nil {
+			organisation.usual.add(s.demand.calm)
+		}
 		return 0, false
 	}
 	l, free := p.level(priority), st.freeRoom(at, s)
--- a/shared/admission/pressure_test.go
+++ b/shared/admission/pressure_test.go
@@ -281,15 +281,16 @@
 }
 
 // organisations returns kinds of request of ten organisations with the same rate, the first
-// of which sends factor times as many.
+// of which sends factor times as many from 10 s on.
 func organisations(perSecond, factor float64) []loadKind {
 	var kinds []loadKind
 	for i := range 10 {
-		rate := perSecond / 10
-		if i == 0 {
-			rate *= factor
-		}
-		kinds = append(kinds, loadKind{organisation: fmt.Sprintf("org-%d", i), priority: 1, objective: 500 * time.Millisecond, perSecond: steady(rate)})
+		kinds = append(kinds, loadKind{organisation: fmt.Sprintf("org-%d", i), priority: 1, objective: 500 * time.Millisecond, perSecond: func(at time.Duration) float64 {
+			if i == 0 && at >= 10*time.Second {
+				return factor * perSecond / 10
+			}
+			return perSecond / 10
+		}})
 	}
 	return kinds
 }
@@ -304,7 +305,7 @@
 	return share(served, sent)
 }
 
-// One organisation sends ten times what each of nine others does, together nearly twice the
+// One organisation sends ten times its usual, which is what each of nine others does, together nearly twice the
 // capacity: the others are served nearly always, and the flood keeps half of the mean chance.
 func TestFloodOfAnOrganisationIsHeldToItsShareByAllInstances(t *testing.T) {
 	for _, instances := range []int{1, 6, 14} {
--- a/shared/admission/shares.go
+++ b/shared/admission/shares.go
@@ -3,34 +3,46 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// namedAbove is how many times the mean demand of an organisation, at this instance, one
-	// must have to be named to the others.
-	namedAbove = 1.5
+	// namedAbove is how many times its usual demand, at this instance, an organisation must
+	// have to be named to the others, beyond namedDeviations standard deviations of it.
+	namedAbove, namedDeviations = 1.5, 2
 	// overShareBegins and overShareEnds are the parts of its share that an organisation's
 	// demand exceeds when it is refused requests, and below which it no longer is.
 	overShareBegins, overShareEnds = 1.15, 1.05
 )
 
-// named returns the organisations with much more demand than the others at this instance, the
-// largest first.
-func (d *demand) named(at time.Time) []OrganisationDemand {
-	total := 0.0
-	for _, o := range d.organisations {
-		total += o.offered.value(at)
+// weights returns, by organisation, what its usual demand counts, and at least the mean of all:
+// a small or a new organisation may ask for as much as the mean one.
+func (d *demand) weights() map[string]float64 {
+	weights, total := make(map[string]float64, len(d.organisations)), 0.0
+	for _, name := range slices.Sorted(maps.Keys(d.organisations)) {
+		weights[name] = d.organisations[name].usual.perSecond(d.calm) * demandTime.Seconds()
+		total += weights[name]
+	}
+	mean := total / float64(max(1, len(weights)))
+	for name, weight := range weights {
+		weights[name] = max(weight, mean)
 	}
+	return weights
+}
+
+// named returns the organisations with much more demand than usual at this instance, the
+// largest first.
+func (d *demand) named(at time.Time, weights map[string]float64) []OrganisationDemand {
 	if len(d.organisations) < 2 {
 		return nil
 	}
-	least := max(1, namedAbove*total/float64(len(d.organisations)))
 	var named []OrganisationDemand
 	for name, o := range d.organisations {
-		if offered := o.offered.value(at); offered > least {
-			named = append(named, OrganisationDemand{Organisation: name, Offered: rounded(offered)})
+		weight := weights[name]
+		if offered := o.offered.value(at); offered > namedAbove*weight+namedDeviations*math.Sqrt(weight)+1 {
+			named = append(named, OrganisationDemand{Organisation: name, Offered: rounded(offered), Usual: rounded(weight)})
 		}
 	}
 	slices.SortFunc(named, func(a, b OrganisationDemand) int {
@@ -51,50 +63,72 @@
 	return sum
 }
 
-// shares returns the organisations whose demand at all instances exceeds their max-min share
-// of the requests that find room, and the part of their requests that is within it. The
-// organisations that no instance names are taken to be within their shares. Every
-// organisation keeps guaranteedPart of the mean chance.
+// claim is the demand of an organisation at all instances and the weight of its share.
+type claim struct {
+	organisation    string
+	offered, weight float64
+}
+
+// shares returns the organisations whose demand at all instances exceeds their max-min share,
+// weighted by their usual demand, of the requests that find room, and the part of their requests
+// that is within it. The organisations that no instance names are taken to ask for what is
+// usual. Every organisation keeps guaranteedPart of the mean chance.
 func (d *demand) shares(at time.Time, served, offered, chance float64, before map[string]float64) map[string]float64 {
-	demands := make(map[string]float64)
-	for _, o := range d.named(at) {
-		demands[o.Organisation] = 0
-	}
-	for name := range before { // Named until now; a gap would end the hold.
-		demands[name] = 0
+	if len(d.organisations) < 2 {
+		return nil // Nobody to give way to.
 	}
-	for _, p := range d.peers {
-		if at.Sub(p.at) > demandAge {
-			continue
+	claims, weights := make(map[string]*claim), d.weights()
+	add := func(o OrganisationDemand) {
+		c, ok := claims[o.Organisation]
+		if !ok {
+			c = &claim{organisation: o.Organisation}
+			claims[o.Organisation] = c
 		}
-		for _, o := range p.demand.Organisations {
-			demands[o.Organisation] += float64(o.Offered)
+		c.offered, c.weight = c.offered+float64(o.Offered), c.weight+float64(max(1, o.Usual))
+	}
+	for name := range before { // They are held until their demand falls.
+		if o, ok := d.organisations[name]; ok {
+			add(OrganisationDemand{Organisation: name, Offered: rounded(o.offered.value(at)), Usual: rounded(weights[name])})
 		}
 	}
-	if len(d.organisations) < 2 {
-		return nil // Nobody to give way to.
+	for _, o := range d.named(at, weights) {
+		if _, ok := claims[o.Organisation]; !ok {
+			add(o)
+		}
 	}
-	others := offered
-	for name := range demands {
-		if o, ok := d.organisations[name]; ok {
-			demands[name] += o.offered.value(at)
+	for _, p := range d.peers {
+		if at.Sub(p.at) <= demandAge {
+			for _, o := range p.demand.Organisations {
+				add(o)
+			}
 		}
-		others -= demands[name]
 	}
-	// The even share of all organisations is the least that the named ones get together.
-	even := served / float64(max(len(d.organisations), len(demands)))
-	left := max(givenPart*served-max(0, others), even*float64(len(demands)))
-	names := slices.SortedFunc(maps.Keys(demands), func(a, b string) int { return cmp.Or(cmp.Compare(demands[a], demands[b]), cmp.Compare(a, b)) })
+	others := claim{offered: offered}
+	sorted := make([]claim, 0, len(claims)+1)
+	for _, c := range claims {
+		others.offered -= c.offered
+		sorted = append(sorted, *c)
+	}
+	others.offered = max(1, others.offered)
+	others.weight = others.offered
+	sorted = append(sorted, others)
+	slices.SortFunc(sorted, func(a, b claim) int {
+		return cmp.Or(cmp.Compare(a.offered/a.weight, b.offered/b.weight), cmp.Compare(a.organisation, b.organisation))
+	})
+	left, weight := givenPart*served, 0.0
+	for _, c := range sorted {
+		weight += c.weight
+	}
 	over := make(map[string]float64)
-	for i, name := range names {
-		share := left / float64(len(names)-i)
-		left -= min(share, demands[name])
+	for _, c := range sorted {
+		share := left * c.weight / weight
+		left, weight = left-min(share, c.offered), weight-c.weight
 		limit := overShareBegins * share
-		if _, ok := before[name]; ok {
+		if _, ok := before[c.organisation]; ok {
 			limit = overShareEnds * share
 		}
-		if demands[name] > limit {
-			over[name] = max(guaranteedPart*chance, share/demands[name])
+		if c.organisation != "" && c.offered > limit {
+			over[c.organisation] = max(guaranteedPart*chance, share/c.offered)
 		}
 	}
 	return over
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -222,6 +222,7 @@
 	s := st.service(r.Service)
 	s.maxGap = max(s.maxGap, r.MaxGap)
 	s.retryTokens.tokens += st.retryBudget.Ratio * budgetShare
+	r.Priority = r.combinedPriority()
 	e := &activeRequest{request: r, parts: r.parts(), queuedSince: at}
 	if retryAfter := st.quarantined(at, e); retryAfter > 0 {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: retryAfter, Reason: Quarantined}}
