--- a/shared/admission/demand.go
+++ b/shared/admission/demand.go
@@ -21,7 +21,7 @@
 	usualTime = time.Minute
 	// maxLevels bounds the priorities that are told apart. Less urgent ones count as the
 	// last of them.
-	maxLevels = 8
+	maxLevels = 12
 	// maxNamed bounds the organisations of a service that an instance names to the others.
 	maxNamed = 8
 	// maxOrganisations bounds the organisations of a service that an instance counts.
