Name organisations only beyond the growth of all demand and the noise of their usual one

Change: an organisation is named beyond 1.5 times what is usual for it beside the others' growth, by three standard deviations of the demand and of the estimate; the others weigh by their own growth.

--- a/shared/admission/shares.go
+++ b/shared/admission/shares.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// namedAbove is how many times its usual demand, at this instance, an organisation must
-	// have to be named to the others, beyond namedDeviations standard deviations of it.
-	namedAbove, namedDeviations = 1.5, 2
+	// namedAbove is how many times the demand that is usual for it beside the others', at this
+	// instance, an organisation must have to be named, beyond namedDeviations standard
+	// deviations of both.
+	namedAbove, namedDeviations = 1.5, 3
 	// overShareBegins and overShareEnds are the parts of its share that an organisation's
 	// demand exceeds when it is refused requests, and below which it no longer is.
 	overShareBegins, overShareEnds = 1.15, 1.05
@@ -32,16 +33,35 @@
 	return weights
 }
 
-// named returns the organisations with much more demand than usual at this instance, the
-// largest first.
+// growth returns how many times the usual demand all organisations but some have at this
+// instance, at least 1.
+func (d *demand) growth(at time.Time, weights map[string]float64, without map[string]*claim) float64 {
+	offered, usual := 0.0, 0.0
+	for _, name := range slices.Sorted(maps.Keys(d.organisations)) {
+		if _, ok := without[name]; !ok {
+			offered += d.organisations[name].offered.value(at)
+			usual += weights[name]
+		}
+	}
+	if usual == 0 {
+		return 1
+	}
+	return max(1, offered/usual)
+}
+
+// named returns the organisations with much more demand than usual at this instance, by more
+// than that of all has grown, the largest first.
 func (d *demand) named(at time.Time, weights map[string]float64) []OrganisationDemand {
 	if len(d.organisations) < 2 {
 		return nil
 	}
 	var named []OrganisationDemand
+	growth := d.growth(at, weights, nil)
+	calm := max(d.calm, demandTime)
 	for name, o := range d.organisations {
 		weight := weights[name]
-		if offered := o.offered.value(at); offered > namedAbove*weight+namedDeviations*math.Sqrt(weight)+1 {
+		deviation := math.Sqrt(weight * (1 + demandTime.Seconds()/calm.Seconds()))
+		if offered := o.offered.value(at); offered > min(growth, namedAbove)*namedAbove*weight+namedDeviations*deviation+1 {
 			named = append(named, OrganisationDemand{Organisation: name, Offered: rounded(offered), Usual: rounded(weight)})
 		}
 	}
@@ -110,7 +130,7 @@
 		sorted = append(sorted, *c)
 	}
 	others.offered = max(1, others.offered)
-	others.weight = others.offered
+	others.weight = others.offered / d.growth(at, weights, claims)
 	sorted = append(sorted, others)
 	slices.SortFunc(sorted, func(a, b claim) int {
 		return cmp.Or(cmp.Compare(a.offered/a.weight, b.offered/b.weight), cmp.Compare(a.organisation, b.organisation))
