Hold organisations by the figures of all instances, not by chance at one

Change: instances name what others name, the sums decide after 0.4 s, growth leaves the organisation itself out, and a hold ends below 1.2 times what is usual beside the growth of the others.

--- a/shared/admission/demand.go
+++ b/shared/admission/demand.go
@@ -96,7 +96,9 @@
 	organisations map[string]*organisationCounts
 	overShare     decayed
 	calm          time.Duration // The time without pressure.
-	peers         map[string]peerDemand
+	// claimed holds since when organisations are named, by any instance.
+	claimed map[string]time.Time
+	peers   map[string]peerDemand
 }
 
 // levelCounts counts the requests of one priority.
--- a/shared/admission/pressure_test.go
+++ b/shared/admission/pressure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -451,3 +452,29 @@
 		}
 	}
 }
+
+// Organisations of very different regular demand all send twice as much: none of them floods, so
+// none is held to a share, and the largest are served as often as the smallest.
+func TestBurstOfAllOrganisationsHoldsNoneOfThem(t *testing.T) {
+	c := qt.New(t)
+	var kinds []loadKind
+	sum := 0.0
+	for i := range 24 {
+		sum += math.Pow(float64(i+1), -1.2)
+	}
+	for i := range 24 {
+		rate := 80 / sum * math.Pow(float64(i+1), -1.2)
+		kinds = append(kinds, loadKind{organisation: fmt.Sprintf("org-%d", i), objective: 500 * time.Millisecond, perSecond: func(at time.Duration) float64 {
+			if at >= 5*time.Second {
+				return 2 * rate
+			}
+			return rate
+		}})
+	}
+	load := sharedLoad{instances: 10, targets: 11, duration: 30 * time.Second, kinds: kinds}
+	results := load.run(8)
+	logLoad(t, "burst", results)
+	all := results["all"]
+	c.Check(all.refused[OverShare] <= (all.sent-all.served)/20, qt.IsTrue)
+	c.Check(math.Abs(results["org-0"].share()-all.share()) <= 0.1, qt.IsTrue)
+}
--- a/shared/admission/shares.go
+++ b/shared/admission/shares.go
@@ -13,6 +13,11 @@
 	// instance, an organisation must have to be named, beyond namedDeviations standard
 	// deviations of both.
 	namedAbove, namedDeviations = 1.5, 3
+	// namedEnds is the same below which an organisation is no longer held to its share.
+	namedEnds = 1.2
+	// confirmTime is how long an organisation must be named before it is held to its share:
+	// the others' figures arrive after two state messages.
+	confirmTime = 400 * time.Millisecond
 	// overShareBegins and overShareEnds are the parts of its share that an organisation's
 	// demand exceeds when it is refused requests, and below which it no longer is.
 	overShareBegins, overShareEnds = 1.15, 1.05
@@ -23,7 +28,7 @@
 func (d *demand) weights() map[string]float64 {
 	weights, total := make(map[string]float64, len(d.organisations)), 0.0
 	for _, name := range slices.Sorted(maps.Keys(d.organisations)) {
-		weights[name] = d.organisations[name].usual.perSecond(d.calm) * demandTime.Seconds()
+		weights[name] = d.usual(name)
 		total += weights[name]
 	}
 	mean := total / float64(max(1, len(weights)))
@@ -35,12 +40,12 @@
 
 // growth returns how many times the usual demand all organisations but some have at this
 // instance, at least 1.
-func (d *demand) growth(at time.Time, weights map[string]float64, without map[string]*claim) float64 {
+func (d *demand) growth(at time.Time, without ...string) float64 {
 	offered, usual := 0.0, 0.0
 	for _, name := range slices.Sorted(maps.Keys(d.organisations)) {
-		if _, ok := without[name]; !ok {
+		if !slices.Contains(without, name) {
 			offered += d.organisations[name].offered.value(at)
-			usual += weights[name]
+			usual += d.usual(name)
 		}
 	}
 	if usual == 0 {
@@ -49,20 +54,38 @@
 	return max(1, offered/usual)
 }
 
-// named returns the organisations with much more demand than usual at this instance, by more
-// than that of all has grown, the largest first.
+// usual returns what the usual demand of an organisation at this instance counts.
+func (d *demand) usual(organisation string) float64 {
+	o, ok := d.organisations[organisation]
+	if !ok {
+		return 0
+	}
+	return o.usual.perSecond(d.calm) * demandTime.Seconds()
+}
+
+// standsOut reports whether a demand is much more than usual beside a growth of the others'.
+func (d *demand) standsOut(offered, usual, growth float64) bool {
+	deviation := math.Sqrt(usual * (1 + demandTime.Seconds()/max(d.calm, demandTime).Seconds()))
+	return offered > namedAbove*usual*growth && offered > namedAbove*usual+namedDeviations*deviation+1
+}
+
+// named returns the organisations with much more demand than usual at this instance or at
+// another one, the largest first. The instances with a usual demand name them as well, so that
+// chance at a few instances does not decide.
 func (d *demand) named(at time.Time, weights map[string]float64) []OrganisationDemand {
 	if len(d.organisations) < 2 {
 		return nil
 	}
+	elsewhere := make(map[string]bool)
+	for _, p := range d.peers {
+		for _, o := range p.demand.Organisations {
+			elsewhere[o.Organisation] = elsewhere[o.Organisation] || d.standsOut(float64(o.Offered), float64(o.Usual), 1)
+		}
+	}
 	var named []OrganisationDemand
-	growth := d.growth(at, weights, nil)
-	calm := max(d.calm, demandTime)
 	for name, o := range d.organisations {
-		weight := weights[name]
-		deviation := math.Sqrt(weight * (1 + demandTime.Seconds()/calm.Seconds()))
-		if offered := o.offered.value(at); offered > min(growth, namedAbove)*namedAbove*weight+namedDeviations*deviation+1 {
-			named = append(named, OrganisationDemand{Organisation: name, Offered: rounded(offered), Usual: rounded(weight)})
+		if offered := o.offered.value(at); elsewhere[name] || d.standsOut(offered, weights[name], d.growth(at, name)) {
+			named = append(named, OrganisationDemand{Organisation: name, Offered: rounded(offered), Usual: rounded(weights[name])})
 		}
 	}
 	slices.SortFunc(named, func(a, b OrganisationDemand) int {
@@ -123,6 +146,15 @@
 			}
 		}
 	}
+	claimed := make(map[string]time.Time, len(claims))
+	for name := range claims {
+		claimed[name] = at
+		if since, ok := d.claimed[name]; ok {
+			claimed[name] = since
+		}
+	}
+	d.claimed = claimed
+	growth := d.growth(at, slices.Collect(maps.Keys(claims))...)
 	others := claim{offered: offered}
 	sorted := make([]claim, 0, len(claims)+1)
 	for _, c := range claims {
@@ -130,7 +162,7 @@
 		sorted = append(sorted, *c)
 	}
 	others.offered = max(1, others.offered)
-	others.weight = others.offered / d.growth(at, weights, claims)
+	others.weight = others.offered / growth
 	sorted = append(sorted, others)
 	slices.SortFunc(sorted, func(a, b claim) int {
 		return cmp.Or(cmp.Compare(a.offered/a.weight, b.offered/b.weight), cmp.Compare(a.organisation, b.organisation))
@@ -145,7 +177,9 @@
 		left, weight = left-min(share, c.offered), weight-c.weight
 		limit := overShareBegins * share
 		if _, ok := before[c.organisation]; ok {
-			limit = overShareEnds * share
+			limit = max(overShareEnds*share, namedEnds*c.weight*growth)
+		} else if at.Sub(d.claimed[c.organisation]) < confirmTime || !d.standsOut(c.offered, c.weight, growth) {
+			continue
 		}
 		if c.organisation != "" && c.offered > limit {
 			over[c.organisation] = max(guaranteedPart*chance, share/c.offered)
