Send the counts of experts once per interval, and none of idle ranks

Every change of a rank's state, some six a switch, carried all 1,536 counts. Change: only the update of each interval has counts, with all since the last one, and an idle rank sends none; engines are also asked for counts less often.

--- a/sidecar/rank/sidecar.go
+++ b/sidecar/rank/sidecar.go
@@ -132,8 +132,8 @@
 	return max(minPollInterval, pause)
 }
 
-// watch sends the rank's state at every change, and otherwise once per interval, until
-// the planner disconnects.
+// watch sends the rank's state at every change, and otherwise once per interval with the
+// counts of its experts, until the planner disconnects.
 func (s *Sidecar) watch(ctx context.Context, interval time.Duration, stream *peer.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -143,7 +143,7 @@
 	}()
 	w := watcher{sidecar: s}
 	var last ranks.Report
-	lastSent := time.Time{}
+	lastCounted := time.Time{}
 	failing := false
 	for ctx.Err() == nil {
 		report, err := w.queryReport(ctx)
@@ -153,13 +153,17 @@
 		}
 		update := report.Prepared != last.Prepared || report.Map != last.Map || report.Epoch != last.Epoch ||
 			report.Armed != last.Armed || report.Held != last.Held || report.Open != last.Open
-		if err == nil && (update || time.Since(lastSent) >= interval) {
-			message, err := w.update(ctx, report)
+		counted := time.Since(lastCounted) >= interval
+		if err == nil && (update || counted) {
+			message, err := w.update(ctx, report, counted)
 			if err == nil {
 				if stream.Send(message) != nil {
 					return // The connection is lost; the planner connects again.
 				}
-				last, lastSent = report, time.Now()
+				last = report
+				if counted {
+					lastCounted = time.Now()
+				}
 			}
 		}
 		select {
@@ -196,24 +200,20 @@
 	return w.sidecar.engine.Report(ctx)
 }
 
-// update returns a message with a report, how often each expert was selected since the
-// last message, and the rank's experts if the map or the epoch has changed.
-func (w *watcher) update(ctx context.Context, report ranks.Report) (*peer.RankUpdate, error) {
+// update returns a message with a report, and the rank's experts if the map or the epoch has
+// changed. If counted is true, it holds how often each expert was selected since the last
+// message that did.
+func (w *watcher) update(ctx context.Context, report ranks.Report, counted bool) (*peer.RankUpdate, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	counts, err := w.sidecar.engine.Counts(ctx)
-	if err != nil {
-		return nil, err
-	}
-	m := &peer.RankUpdate{Report: peer.NewEngineReport(report), Chosen: make([]uint32, len(counts))}
-	if len(w.counts) == len(counts) && w.countsIncarnation == report.Incarnation {
-		for i, n := range counts {
-			if n >= w.counts[i] {
-				m.Chosen[i] = uint32(n - w.counts[i])
-			}
+	m := &peer.RankUpdate{Report: peer.NewEngineReport(report)}
+	if counted {
+		counts, err := w.sidecar.engine.Counts(ctx)
+		if err != nil {
+			return nil, err
 		}
+		m.Chosen = w.difference(counts, report.Incarnation)
 	}
-	w.counts, w.countsIncarnation = counts, report.Incarnation
 	if !w.mapSent || w.sentMap != report.Map || w.sentEpoch != report.Epoch {
 		version, experts, err := w.sidecar.engine.Experts(ctx)
 		if err != nil {
@@ -224,3 +224,21 @@
 	}
 	return m, nil
 }
+
+// difference returns how often each expert was selected since the last call, or nil if none
+// was. counts are those since the start of an incarnation of the rank.
+func (w *watcher) difference(counts []uint64, incarnation uint64) []uint32 {
+	chosen, selected := make([]uint32, len(counts)), false
+	if len(w.counts) == len(counts) && w.countsIncarnation == incarnation {
+		for i, n := range counts {
+			if n > w.counts[i] {
+				chosen[i], selected = uint32(n-w.counts[i]), true
+			}
+		}
+	}
+	w.counts, w.countsIncarnation = counts, incarnation
+	if !selected {
+		return nil
+	}
+	return chosen
+}
--- a/sidecar/rank/sidecar_test.go
+++ b/sidecar/rank/sidecar_test.go
@@ -45,3 +45,15 @@
 		})
 	}
 }
+
+// Counts are most of what sidecars and the planner send each other: nothing is sent for an idle
+// rank, and what was selected while no counts were sent is in the next ones.
+func TestCountsAreSentOnce(t *testing.T) {
+	c := qt.New(t)
+	w := watcher{}
+	c.Check(w.difference([]uint64{5, 0, 7}, 1), qt.IsNil)
+	c.Check(w.difference([]uint64{5, 0, 7}, 1), qt.IsNil)
+	c.Check(w.difference([]uint64{6, 0, 9}, 1), qt.DeepEquals, []uint32{1, 0, 2})
+	c.Check(w.difference([]uint64{1, 0, 1}, 2), qt.IsNil, qt.Commentf("a restart clears the counts"))
+	c.Check(w.difference([]uint64{1, 4, 1}, 2), qt.DeepEquals, []uint32{0, 4, 0})
+}
