--- a/router/caller/options.go
+++ b/router/caller/options.go
@@ -46,6 +46,10 @@
 	GracePeriod settings.Duration `json:"gracePeriod"`
 	// AddressKeep is how long callers may cache the addresses from a query.
 	AddressKeep settings.Duration `json:"addressKeep"`
+	// MemoryMB is the memory that the process may use, in units of 2^20 bytes, and
+	// FileDescriptors how many descriptors it may open. Zero means that neither is known.
+	MemoryMB        float64 `json:"memoryMb,omitempty"`
+	FileDescriptors float64 `json:"fileDescriptors,omitempty"`
 }
 
 // ParseOptions parses the command line and reads the settings file that it names.
--- a/sidecar/rank/options.go
+++ b/sidecar/rank/options.go
@@ -20,6 +20,10 @@
 	Engine netip.AddrPort `json:"engine"`
 	// Peers is the address on which the sidecar listens for planners.
 	Peers netip.AddrPort `json:"peers"`
+	// MemoryMB is the memory that the process may use, in units of 2^20 bytes, and
+	// FileDescriptors how many descriptors it may open. Zero means that neither is known.
+	MemoryMB        float64 `json:"memoryMb,omitempty"`
+	FileDescriptors float64 `json:"fileDescriptors,omitempty"`
 }
 
 // ParseOptions parses the command line and the settings file that it names. Errors
