Bound what clients hold in routers and sidecars

Cause: a router read each body whole with no bound over all requests, no time for a body, no bound of connections; a link's first message was given a buffer of the length that it announced, on any number of links and streams.

Change: shared/intake counts the connections of an HTTP server and the bytes of bodies and responses. Bytes are reserved before they are read, in steps that follow what has arrived. Without room, the client that has held most for longest (over 1 s) without an end of its body is refused, with 503 since nothing was dispatched, or is closed if it does not read; others wait at most 2 s. An eighth is for small requests. A new connection beyond the bound closes the longest idle one. Bodies must progress (1 KiB/s after 10 s) and end within their request's time. Announced lengths over the limit get 413 unread, heads over the configured size 431. peer.Limits bounds links and bytes before a link's first message.

`go test ./router/caller` failed once in TestDrainingAndEvacuatedTargetsGetNoRequests at a load average of 48; the same test passed 3 of 3 alone.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -13,6 +13,7 @@
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
+	"chervilswitch.example/shared/intake"
 
 	"github.com/apex/log"
 )
@@ -57,8 +58,10 @@
 	organisation string
 	priority     int
 	service      string
-	maxBodyBytes int64
+	limits       fleet.Limits
 	body         []byte
+	// client is the caller's connection, and counts what is held for it.
+	client *intake.Connection
 	// identity is equal for requests with the same content; see contentIdentity.
 	identity string
 	deadline time.Time
@@ -80,16 +83,11 @@
 
 // serve submits the request to the core and executes attempts until it is finished.
 func (x *exchange) serve() {
-	timeout := x.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
 	elapsed := time.Duration(0)
 	if left := x.headers.Left; left > 0 {
 		elapsed = max(0, x.route.Timeout-left)
-		timeout = min(timeout, left)
 	}
-	x.deadline = x.began.Add(timeout)
+	x.deadline = x.began.Add(x.timeout())
 	if !x.mayStart() {
 		x.refuse(stoppingRetryAfter, "stopping")
 		return
@@ -99,10 +97,9 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(x.router.requests, func() { end(errStopping) })()
-	controller := http.NewResponseController(x.writer)
-	if controller.SetWriteDeadline(x.deadline.Add(writeGrace)) == nil {
-		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }() // The connection serves other requests.
-	}
+	// The HTTP server ends the deadline when the response is written. Writers without one are
+	// those of tests.
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(x.deadline.Add(writeGrace))
 	x.id, x.decisions = x.router.core.Submit(admission.Request{
 		Service: x.service, Organisation: x.organisation, Priority: x.priority,
 		Objective: x.route.Objective, Elapsed: elapsed, Deadline: x.deadline,
@@ -132,6 +129,18 @@
 	}
 }
 
+// timeout returns how long the caller waits for the response.
+func (x *exchange) timeout() time.Duration {
+	timeout := x.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if left := x.headers.Left; left > 0 {
+		timeout = min(timeout, left)
+	}
+	return timeout
+}
+
 // handleRefusal ends a request for which the core has no target or no further attempt.
 func (x *exchange) handleRefusal(r admission.Refuse) {
 	events.Log(x.logger, events.RequestTurnedAway, log.Fields{
--- a/router/caller/handler.go
+++ b/router/caller/handler.go
@@ -1,9 +1,7 @@
 package caller
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -13,6 +11,7 @@
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
+	"chervilswitch.example/shared/intake"
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
@@ -38,14 +37,22 @@
 	x := &exchange{
 		router: r, writer: w, request: request, headers: headers, began: began,
 		logger: r.logger.WithField("request", headers.Attempt),
+		client: intake.From(request.Context()),
 	}
+	if !x.client.Begin() {
+		panic(http.ErrAbortHandler) // The connection was closed before the request was read.
+	}
+	defer x.client.End()
+	x.writer = &clientWriter{ResponseWriter: w, client: x.client}
 	if r.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	defer x.recordEnd()
-	if !x.authorize(r.core.View()) || !x.readBody() {
+	x.limitUnreadBody()
+	if !x.authorize(r.core.View()) || !x.checkHead() || !x.readBody() {
 		return
 	}
+	x.identity = x.contentIdentity()
 	x.serve()
 }
 
@@ -78,7 +85,7 @@
 		return false
 	}
 	x.service = x.route.Pick(rand.Float64())
-	x.maxBodyBytes = configuration.Limits.BodyBytes
+	x.limits = configuration.Limits
 	return true
 }
 
@@ -92,28 +99,6 @@
 	x.fail(status, reason)
 }
 
-// readBody buffers the whole body, since a retry sends it again. It reports whether the
-// body is within the limit.
-func (x *exchange) readBody() bool {
-	limit := x.maxBodyBytes
-	if limit <= 0 {
-		limit = maxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			x.fail(http.StatusRequestEntityTooLarge, "bodyTooLarge")
-			return false
-		}
-		x.outcome = "bodyNotRead"
-		panic(http.ErrAbortHandler)
-	}
-	x.body = body
-	x.identity = x.contentIdentity()
-	return true
-}
-
 // contentIdentity returns the identity of what makes two requests the same one: method,
 // host, path with query, organisation, prompt and body.
 func (x *exchange) contentIdentity() string {
--- a/router/caller/metrics.go
+++ b/router/caller/metrics.go
@@ -36,3 +36,10 @@
 func (m metrics) recordQuarantine(change string) {
 	m.scope.Tagged(map[string]string{"change": change}).Counter("quarantine_changes").Inc(1)
 }
+
+// recordCut counts a client that was cut off. Clients may come before the metrics are set up.
+func (m metrics) recordCut(listener, reason string) {
+	if m.scope != nil {
+		m.scope.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("client_cuts").Inc(1)
+	}
+}
--- a/router/caller/options.go
+++ b/router/caller/options.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"chervilswitch.example/shared/intake"
 	"chervilswitch.example/shared/settings"
 )
 
@@ -50,8 +51,23 @@
 	// FileDescriptors how many descriptors it may open. Zero means that neither is known.
 	MemoryMB        float64 `json:"memoryMb,omitempty"`
 	FileDescriptors float64 `json:"fileDescriptors,omitempty"`
+	// CallerConnections and CallerMB bound the connections of callers, and their bodies and
+	// responses that are held, in units of 2^20 bytes. Zero derives them from the two above.
+	CallerConnections int     `json:"callerConnections,omitempty"`
+	CallerMB          float64 `json:"callerMb,omitempty"`
+	// BodyTimeout is the longest time for a body, also if its route allows more, and
+	// BodyBytesPerSecond the lowest rate after the first ten seconds. Zero is the default.
+	BodyTimeout        settings.Duration `json:"bodyTimeout,omitempty"`
+	BodyBytesPerSecond float64           `json:"bodyBytesPerSecond,omitempty"`
 }
 
+const (
+	// defaultBodyTimeout is twice defaultTimeout.
+	defaultBodyTimeout = 60 * time.Second
+	// defaultBodyRate is a thousandth of a slow mobile link.
+	defaultBodyRate = 1 << 10
+)
+
 // ParseOptions parses the command line and reads the settings file that it names.
 // Errors match settings.ErrInvalid.
 func ParseOptions(arguments []string) (Options, error) {
@@ -105,5 +121,48 @@
 	if time.Duration(o.AddressKeep) <= 0 {
 		faults.Add("addressKeep", "a positive duration is required, such as 2s")
 	}
+	limits := map[string]float64{
+		"memoryMb": o.MemoryMB, "fileDescriptors": o.FileDescriptors, "callerConnections": float64(o.CallerConnections),
+		"callerMb": o.CallerMB, "bodyTimeout": float64(o.BodyTimeout), "bodyBytesPerSecond": o.BodyBytesPerSecond,
+	}
+	for key, value := range limits {
+		if value < 0 {
+			faults.Add(key, "a value that is not negative is required; 0 is the default")
+		}
+	}
 	return faults.Err(o.File)
 }
+
+// resources returns what the process may use.
+func (o *Options) resources() intake.Resources {
+	return intake.NewResources(o.MemoryMB, o.FileDescriptors)
+}
+
+// callerIntake returns the bounds of what callers hold.
+func (o *Options) callerIntake() *intake.Intake {
+	resources := o.resources()
+	i := &intake.Intake{MaxConnections: o.CallerConnections, MaxBytes: int64(o.CallerMB * (1 << 20))}
+	if i.MaxConnections == 0 {
+		i.MaxConnections = resources.CallerConnections()
+	}
+	if i.MaxBytes == 0 {
+		i.MaxBytes = resources.CallerBytes()
+	}
+	return i
+}
+
+// bodyTimeout returns the longest time for a body.
+func (o *Options) bodyTimeout() time.Duration {
+	if o.BodyTimeout == 0 {
+		return defaultBodyTimeout
+	}
+	return time.Duration(o.BodyTimeout)
+}
+
+// bodyRate returns the lowest rate of a body in bytes per second.
+func (o *Options) bodyRate() float64 {
+	if o.BodyBytesPerSecond == 0 {
+		return defaultBodyRate
+	}
+	return o.BodyBytesPerSecond
+}
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -23,6 +23,7 @@
 	"chervilswitch.example/shared/admission"
 	"chervilswitch.example/shared/events"
 	"chervilswitch.example/shared/fleet"
+	"chervilswitch.example/shared/intake"
 	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/settings"
 
@@ -37,6 +38,9 @@
 	maxHeaderBytes = 64 << 10
 	// callerIdleTimeout exceeds the time for which callers reuse an idle connection.
 	callerIdleTimeout = 90 * time.Second
+	// answerTimeout is the time to write a response of the router itself. Responses of
+	// targets have the deadline of their request.
+	answerTimeout = 10 * time.Second
 	// tickInterval is how often waiting requests are checked.
 	tickInterval = 25 * time.Millisecond
 	// trimInterval is how often expired idle connections to targets are closed.
@@ -59,6 +63,9 @@
 	store   *platform.Store
 	self    fleet.Instance
 	crashes crashStore
+	// callers bounds what callers hold, and cuts limits the log lines about it.
+	callers *intake.Intake
+	cuts    lineLimit
 	// stop is the planned stop that has begun, or nil.
 	stop atomic.Pointer[plannedStop]
 	// requests bounds all requests of callers; endRequests ends those in flight.
@@ -74,6 +81,7 @@
 func Run(ctx context.Context, options Options) error {
 	sink := events.NewSink(os.Stdout)
 	defer sink.Close()
+	options.resources().LimitHeap()
 	return NewRouter(options, events.NewLogger(sink)).Serve(ctx)
 }
 
@@ -94,6 +102,8 @@
 			Incarnation: uint64(time.Now().UnixNano()), Callers: options.Callers, Peers: options.Peers,
 		},
 	}
+	r.callers = options.callerIntake()
+	r.callers.Report = r.reportCut("callers")
 	r.current.Store(&options)
 	r.lifetime, r.cancelLifetime = context.WithCancel(context.Background())
 	r.requests, r.endRequests = context.WithCancel(r.lifetime)
@@ -122,7 +132,9 @@
 func (r *Router) Serve(ctx context.Context) error {
 	lifetime, cancelLifetime := r.lifetime, r.cancelLifetime
 	ctx, cancelServing := context.WithCancel(ctx)
+	resources := r.options.resources()
 	operators := settings.NewOperatorServer(func(context.Context) string { return r.unreadyReason() })
+	operators.Intake = &intake.Intake{MaxConnections: resources.CheckConnections(), CloseActive: true, Report: r.reportCut("operators")}
 	r.metrics = newMetrics(operators.Scope)
 	var goroutines sync.WaitGroup
 	defer goroutines.Wait()
@@ -132,7 +144,8 @@
 	if err != nil {
 		return fmt.Errorf("listen on peers address: %w", err)
 	}
-	goroutines.Go(func() { _ = peer.Serve(lifetime, peers, r.servePeer) })
+	limits := peer.Limits{Links: resources.NewLinks(), Bytes: resources.NewLinkBytes(), Report: r.reportLinkCut}
+	goroutines.Go(func() { _ = limits.Serve(lifetime, peers, r.servePeer) })
 	goroutines.Go(func() {
 		if err := operators.ListenAndServe(lifetime, r.options.Operators); err != nil {
 			events.Log(r.logger, events.DependencyLost, log.Fields{"dependency": "operatorsListener", "error": err.Error()})
@@ -224,13 +237,14 @@
 // for them to finish.
 func (r *Router) serveCallers(ctx context.Context, goroutines *sync.WaitGroup) error {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+	resources := r.options.resources()
 	servers := []struct {
 		address netip.AddrPort
 		server  *http.Server
 	}{
-		{r.options.Callers, r.server(r)},
-		{r.options.Readiness, r.server(http.HandlerFunc(r.serveReadiness))},
-		{r.options.Resolution, r.server(http.HandlerFunc(r.serveResolution))},
+		{r.options.Callers, r.server(r, r.callers)},
+		{r.options.Readiness, r.queryServer(r.serveReadiness, "readiness", resources.CheckConnections())},
+		{r.options.Resolution, r.queryServer(r.serveResolution, "resolution", resources.QueryConnections())},
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
@@ -265,9 +279,18 @@
 	return len(line), nil
 }
 
-func (r *Router) server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout,
+func (r *Router) server(handler http.Handler, clients *intake.Intake) *http.Server {
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout, WriteTimeout: answerTimeout,
 		ReadHeaderTimeout: settings.HeaderTimeout, ErrorLog: stdlog.New(serverLog{r.logger}, "", 0),
 	}
+	clients.Attach(server)
+	return server
+}
+
+// queryServer returns a server for short queries without a body.
+func (r *Router) queryServer(handler http.HandlerFunc, name string, connections int) *http.Server {
+	server := r.server(handler, &intake.Intake{MaxConnections: connections, CloseActive: true, Report: r.reportCut(name)})
+	server.ReadTimeout = settings.HeaderTimeout
+	return server
 }
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -41,6 +41,7 @@
 	RecordIgnored      Event = 1110
 	StoreRestored      Event = 1111
 	RequestEnded       Event = 1303
+	ClientCut          Event = 1304
 	RequestDispatched  Event = 2011
 	RequestTurnedAway  Event = 2012
 	AttemptEnded       Event = 2013
@@ -91,6 +92,7 @@
 	RecordIgnored:      "recordIgnored",
 	StoreRestored:      "storeRestored",
 	RequestEnded:       "requestEnded",
+	ClientCut:          "clientCut",
 	RequestDispatched:  "requestDispatched",
 	RequestTurnedAway:  "requestTurnedAway",
 	AttemptEnded:       "attemptEnded",
@@ -122,7 +124,7 @@
 func Log(logger log.Interface, e Event, fields log.Fields) {
 	entry := logger.WithFields(fields).WithField("event", int(e))
 	switch e {
-	case DependencyLost, RecordUnreadable, LogUnreadable, AppendUncertain, AppendDropped, PeerLost, TargetFailed, RequestFailed:
+	case DependencyLost, RecordUnreadable, LogUnreadable, AppendUncertain, AppendDropped, PeerLost, TargetFailed, RequestFailed, ClientCut:
 		entry.Warn(names[e])
 	default:
 		entry.Info(names[e])
--- a/shared/peer/link.go
+++ b/shared/peer/link.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/tls"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -74,13 +76,46 @@
 // Receive reads one message. Errors match ErrLink, and also io.EOF if the sender closed
 // the stream between two messages.
 func (s *Stream) Receive(m proto.Message) error {
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	if err := options.UnmarshalFrom(s.reader, m); err != nil {
+	if err := s.receive(m); err != nil {
 		return ErrLink.Wrap(err, "receive")
 	}
 	return nil
 }
 
+// receive reads one message. The buffer of a long one grows with the bytes that have
+// arrived, not with the length that the sender has announced.
+func (s *Stream) receive(m proto.Message) error {
+	size, err := binary.ReadUvarint(s.reader)
+	if err != nil {
+		return err
+	}
+	if size > maxMessageBytes {
+		return &protodelim.SizeTooLargeError{Size: size, MaxSize: maxMessageBytes}
+	}
+	if int(size) <= s.reader.Size() {
+		raw, err := s.reader.Peek(int(size))
+		if err != nil {
+			return noEOF(err)
+		}
+		err = proto.Unmarshal(raw, m)
+		_, _ = s.reader.Discard(int(size)) // These bytes are buffered.
+		return err
+	}
+	var buffer bytes.Buffer
+	if _, err := io.CopyN(&buffer, s.reader, int64(size)); err != nil {
+		return noEOF(err)
+	}
+	return proto.Unmarshal(buffer.Bytes(), m)
+}
+
+// noEOF returns the error of a read inside a message.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // ReceiveWithin reads one message within a timeout. Errors match ErrLink.
 func (s *Stream) ReceiveWithin(m proto.Message, timeout time.Duration) error {
 	if err := s.setReadDeadline(time.Now().Add(timeout)); err != nil {
@@ -122,8 +157,11 @@
 type linkConn struct {
 	net.Conn
 	closing atomic.Bool
-	mutex   sync.Mutex
-	streams map[*Stream]struct{}
+	// newcomers counts the link until a message has arrived; nil for links that were
+	// dialled, and afterwards.
+	newcomers atomic.Pointer[newcomers]
+	mutex     sync.Mutex
+	streams   map[*Stream]struct{}
 }
 
 func newLinkConn(conn net.Conn) *linkConn {
@@ -223,6 +261,12 @@
 // Serve accepts links and passes their streams to the handler until the context ends. It
 // goes on after errors that pass, such as a lack of descriptors, and returns others.
 func Serve(ctx context.Context, listener net.Listener, handle Handler) error {
+	return Limits{}.Serve(ctx, listener, handle)
+}
+
+// Serve is Serve within the limits.
+func (l Limits) Serve(ctx context.Context, listener net.Listener, handle Handler) error {
+	guard := newNewcomers(l)
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	for {
@@ -237,7 +281,7 @@
 		if err != nil {
 			return fmt.Errorf("accept a connection from a peer: %w", err)
 		}
-		go serveLink(ctx, conn, handle)
+		go serveLink(ctx, guard.admit(newLinkConn(conn)), handle)
 	}
 }
 
@@ -252,11 +296,11 @@
 	return false
 }
 
-func serveLink(ctx context.Context, conn net.Conn, handle Handler) {
-	tracked := newLinkConn(conn)
+func serveLink(ctx context.Context, tracked *linkConn, handle Handler) {
+	defer tracked.prove()
 	session, err := yamux.Server(tracked, sessionConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = tracked.Close()
 		return
 	}
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
@@ -277,6 +321,9 @@
 	if err := s.ReceiveWithin(first, writeTimeout); err != nil {
 		return
 	}
+	if first.GetKind() != nil && s.link != nil {
+		s.link.prove()
+	}
 	handle(ctx, first, s)
 }
 
--- a/shared/settings/operators.go
+++ b/shared/settings/operators.go
@@ -11,6 +11,8 @@
 	"net/netip"
 	"time"
 
+	"chervilswitch.example/shared/intake"
+
 	promclient "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -19,12 +21,24 @@
 // metricsInterval is the interval at which counters reach the scraped metrics.
 const metricsInterval = time.Second
 
+const (
+	// operatorWriteTimeout leaves room for a profile, which takes 30 s by default.
+	operatorWriteTimeout = time.Minute
+	// operatorReadTimeout bounds a request with its body, which no route reads. It is not
+	// less than the time of a response, since its end also ends the request.
+	operatorReadTimeout    = operatorWriteTimeout
+	operatorIdleTimeout    = time.Minute
+	maxOperatorHeaderBytes = 16 << 10
+)
+
 // OperatorServer serves a daemon's health checks, metrics and profiles over HTTP.
 type OperatorServer struct {
 	// Scope creates the daemon's metrics.
 	Scope tally.Scope
 	// Mux holds the routes. Callers may add routes before Serve.
-	Mux    *http.ServeMux
+	Mux *http.ServeMux
+	// Intake bounds the connections; nil sets no bound.
+	Intake *intake.Intake
 	closer io.Closer
 }
 
@@ -64,7 +78,14 @@
 
 // Serve serves on a listener until the context ends, and closes it.
 func (o *OperatorServer) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: o.Mux, ReadHeaderTimeout: HeaderTimeout}
+	server := &http.Server{
+		Handler: o.Mux, MaxHeaderBytes: maxOperatorHeaderBytes,
+		ReadTimeout: operatorReadTimeout, WriteTimeout: operatorWriteTimeout, IdleTimeout: operatorIdleTimeout,
+		ReadHeaderTimeout: HeaderTimeout,
+	}
+	if o.Intake != nil {
+		o.Intake.Attach(server)
+	}
 	stop := context.AfterFunc(ctx, func() {
 		_ = server.Close()
 		_ = o.closer.Close()
--- a/sidecar/rank/options.go
+++ b/sidecar/rank/options.go
@@ -44,5 +44,8 @@
 	if !o.Peers.IsValid() {
 		faults.Add("peers", "an address with a port is required, such as 10.0.0.1:7340")
 	}
+	if o.MemoryMB < 0 || o.FileDescriptors < 0 {
+		faults.Add("memoryMb", "memoryMb and fileDescriptors must not be negative")
+	}
 	return o, faults.Err(file)
 }
--- a/sidecar/rank/sidecar.go
+++ b/sidecar/rank/sidecar.go
@@ -10,6 +10,7 @@
 
 	"chervilswitch.example/platform"
 	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/intake"
 	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/ranks"
 
@@ -56,7 +57,12 @@
 	}
 	s := &Sidecar{engine: platform.NewEngine(options.Engine), logger: logger}
 	events.Log(logger, events.Started, log.Fields{"peers": options.Peers, "engine": options.Engine})
-	err = peer.Serve(ctx, listener, s.serve)
+	resources := intake.NewResources(options.MemoryMB, options.FileDescriptors)
+	resources.LimitHeap()
+	limits := peer.Limits{Links: resources.NewLinks(), Bytes: resources.NewLinkBytes(), Report: func(reason string, links int, bytes int64) {
+		events.Log(logger, events.ClientCut, log.Fields{"listener": "peers", "reason": reason, "connections": links, "held": bytes})
+	}}
+	err = limits.Serve(ctx, listener, s.serve)
 	events.Log(logger, events.Stopped, nil)
 	return err
 }
