--- a/clients/clients_test.go
+++ b/clients/clients_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"chervilswitch.example/platform/platformtest"
-
 )
 
 const (
@@ -253,4 +252,3 @@
 	frame := binary.BigEndian.AppendUint16([]byte{0, kind}, flags)
 	return binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(frame, stream), length)
 }
-
