--- a/router/caller/clients.go
+++ b/router/caller/clients.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"chervilswitch.example/shared/events"
@@ -25,8 +24,6 @@
 	minBodyBuffer = 4 << 10
 	// tightResponseBytes is the part of a response that is buffered while callers hold much.
 	tightResponseBytes = 16 << 10
-	// linesPerSecond bounds the log lines about clients that were cut off.
-	linesPerSecond = 20
 )
 
 // errBodyTooLarge is the error of a body over the limit.
@@ -178,30 +175,6 @@
 	return tightResponseBytes
 }
 
-// lineLimit bounds log lines.
-type lineLimit struct {
-	mutex   sync.Mutex
-	second  time.Time
-	lines   int
-	omitted int
-}
-
-// allow reports whether a line may be written, and how many were left out before it.
-func (l *lineLimit) allow(now time.Time) (omitted int, allowed bool) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if now.Sub(l.second) >= time.Second {
-		l.second, l.lines = now, 0
-	}
-	if l.lines >= linesPerSecond {
-		l.omitted++
-		return 0, false
-	}
-	l.lines++
-	omitted, l.omitted = l.omitted, 0
-	return omitted, true
-}
-
 // reportCut returns a function that logs and counts the clients of a listener that were cut
 // off.
 func (r *Router) reportCut(listener string) func(intake.Reason, net.Addr, int, int64) {
@@ -217,7 +190,7 @@
 
 func (r *Router) logCut(listener, reason string, remote net.Addr, connections int, held int64) {
 	r.metrics.recordCut(listener, reason)
-	omitted, ok := r.cuts.allow(time.Now())
+	omitted, ok := r.cuts.Allow(time.Now())
 	if !ok {
 		return
 	}
--- a/router/caller/options.go
+++ b/router/caller/options.go
@@ -64,7 +64,8 @@
 const (
 	// defaultBodyTimeout is twice defaultTimeout.
 	defaultBodyTimeout = 60 * time.Second
-	// defaultBodyRate is a thousandth of a slow mobile link.
+	// defaultBodyRate, in bytes per second, is too low for any body to end within its
+	// request's time, except for the smallest.
 	defaultBodyRate = 1 << 10
 )
 
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -65,7 +65,7 @@
 	crashes crashStore
 	// callers bounds what callers hold, and cuts limits the log lines about it.
 	callers *intake.Intake
-	cuts    lineLimit
+	cuts    intake.Lines
 	// stop is the planned stop that has begun, or nil.
 	stop atomic.Pointer[plannedStop]
 	// requests bounds all requests of callers; endRequests ends those in flight.
--- a/sidecar/rank/sidecar.go
+++ b/sidecar/rank/sidecar.go
@@ -59,8 +59,11 @@
 	events.Log(logger, events.Started, log.Fields{"peers": options.Peers, "engine": options.Engine})
 	resources := intake.NewResources(options.MemoryMB, options.FileDescriptors)
 	resources.LimitHeap()
+	var cuts intake.Lines
 	limits := peer.Limits{Links: resources.NewLinks(), Bytes: resources.NewLinkBytes(), Report: func(reason string, links int, bytes int64) {
-		events.Log(logger, events.ClientCut, log.Fields{"listener": "peers", "reason": reason, "connections": links, "held": bytes})
+		if omitted, ok := cuts.Allow(time.Now()); ok {
+			events.Log(logger, events.ClientCut, log.Fields{"listener": "peers", "reason": reason, "connections": links, "held": bytes, "omitted": omitted})
+		}
 	}}
 	err = limits.Serve(ctx, listener, s.serve)
 	events.Log(logger, events.Stopped, nil)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -85,6 +86,11 @@
 	// shownLogLines is the number of lines of each router's log that a failure shows.
 	shownLogLines = 4
 	key           = "key"
+	// The hostile caller holds hostileConnections, with hostileBytes of a request on each,
+	// and gives up a write after hostileWriteTime.
+	hostileConnections = 60
+	hostileBytes       = 200 << 10
+	hostileWriteTime   = 100 * time.Millisecond
 	// maxCopies is the number of copies of the store that are kept; one is made before each
 	// fault.
 	maxCopies = 8
@@ -180,6 +186,7 @@
 	for range callers {
 		group.Go(func() { s.runCaller(ctx) })
 	}
+	group.Go(func() { s.runHostileCaller(ctx) })
 	s.withLock(func() {
 		s.harmful = true
 		s.limited, s.namedLimit, s.limitedFrom = s.random.IntN(replicas), 1+3*s.random.Float64(), time.Now()
@@ -198,6 +205,36 @@
 	s.checkResults(seed)
 }
 
+// runHostileCaller opens connections to the routers that never send a whole request, and
+// closes the oldest of them from time to time.
+func (s *soak) runHostileCaller(ctx context.Context) {
+	head := "POST /once/ HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nAuthorization: Token " + key + "\r\n" + platformtest.AttemptLine("hostile") + "\r\n"
+	body := strings.Repeat("a", hostileBytes)
+	texts := []string{
+		"", "\r\n\r\n", head, head + "Long: " + body,
+		head + "Content-Length: 1000000\r\n\r\n" + body,
+		head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\na\r\n", hostileBytes/10),
+		head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s", hostileBytes+1, body),
+	}
+	var open []net.Conn
+	for i := 0; ctx.Err() == nil; i++ {
+		conn, err := net.DialTimeout("tcp", s.routers[i%len(s.routers)].address("callers").String(), hostileWriteTime)
+		if err == nil {
+			_ = conn.SetWriteDeadline(time.Now().Add(hostileWriteTime))
+			_, _ = io.WriteString(conn, texts[i/len(s.routers)%len(texts)]) // A router may close it.
+			open = append(open, conn)
+		}
+		if len(open) > hostileConnections {
+			_ = open[0].Close()
+			open = open[1:]
+		}
+		time.Sleep(sendInterval)
+	}
+	for _, conn := range open {
+		_ = conn.Close()
+	}
+}
+
 // startDeployment starts the store, the replicas and the routers.
 func (s *soak) startDeployment() {
 	storeAddress := s.store.Start()
