Give the slow bodies of a test a route with time enough

Cause: TestSlowBodiesAreServed failed once in a run of the whole package at a load average of 32: its pieces took longer than the two seconds of their route, whose end refuses a body as it did before. The test is about slow bodies, not about that end.

Change: its routes have a minute; a body that stops inside a chunk joins the other cases.

--- a/router/caller/clients_test.go
+++ b/router/caller/clients_test.go
@@ -43,6 +43,12 @@
 // A body that arrives slowly, in any framing, is served while there is room.
 func TestSlowBodiesAreServed(t *testing.T) {
 	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": echo})
+	routes := testRoutes("svc")
+	for i := range routes {
+		routes[i].Timeout = time.Minute // Longer than the machine can make the pieces take.
+	}
+	d.store.PutConfiguration(platformtest.Configuration(2, routes, map[string]string{testKey: "org"}))
+	d.eventually("the configuration is in force", func() bool { return d.routers[0].core.View().Configuration.Version == 2 })
 	pieces := strings.Split(strings.Repeat("a", 20), "")
 	status, closed := d.sendRaw(append([]string{rawHead(nonIdempotentPath, "a", "Content-Length: 20")}, pieces...)...)
 	d.Check(status, qt.Equals, http.StatusOK)
@@ -75,6 +81,7 @@
 		"too large":            {rawHead(nonIdempotentPath, "a", "Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n%s", 200, strings.Repeat("a", 101)), http.StatusRequestEntityTooLarge},
 		"head too large":       {rawHead(nonIdempotentPath, "a", "Long: "+strings.Repeat("a", 1000)), http.StatusRequestHeaderFieldsTooLarge},
 		"stops before its end": {rawHead(nonIdempotentPath, "a", "Content-Length: 100") + "a", http.StatusServiceUnavailable},
+		"stops in a chunk":     {rawHead(nonIdempotentPath, "a", "Transfer-Encoding: chunked") + "3\r\na", http.StatusServiceUnavailable},
 	} {
 		status, closed := d.sendRaw(test.request)
 		d.Check(status, qt.Equals, test.status, qt.Commentf(name))
