--- a/sidecar/rank/options.go
+++ b/sidecar/rank/options.go
@@ -20,6 +20,10 @@
 	Engine netip.AddrPort `json:"engine"`
 	// Peers is the address on which the sidecar listens for planners.
 	Peers netip.AddrPort `json:"peers"`
+	// MemoryMB is the memory that the process may use, in units of 2^20 bytes, and
+	// FileDescriptors how many descriptors it may open. Zero means that neither is known.
+	MemoryMB        float64 `json:"memoryMb,omitempty"`
+	FileDescriptors float64 `json:"fileDescriptors,omitempty"`
 }
 
 // ParseOptions parses the command line and the settings file that it names. Errors
@@ -40,5 +44,8 @@
 	if !o.Peers.IsValid() {
 		faults.Add("peers", "an address with a port is required, such as 10.0.0.1:7340")
 	}
+	if o.MemoryMB < 0 || o.FileDescriptors < 0 {
+		faults.Add("memoryMb", "memoryMb and fileDescriptors must not be negative")
+	}
 	return o, faults.Err(file)
 }
