Start a second attempt when the first is slow, within a limit that operators set

A few slow targets make the slowest answers of a service. Where operators set hedgeShare, the reducer decides on a second attempt at a repeatable request that has had no output for twice the third quartile of the service's times to first output: not under pressure, to another target with room (for ranks, of another group), within maxAttempts, the retry budget and the limit. The first output wins; the loser is cancelled and is no evidence. Off by default.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -35,6 +35,16 @@
 	*exchange
 	target fleet.Target
 	began  time.Time
+	// cancel ends the attempt.
+	cancel context.CancelCauseFunc
+	// pair is nil if no second attempt may run beside this one.
+	pair *pair
+	// dropped is true if the attempt has ended while the other one of its pair goes on.
+	dropped bool
+	// resumes is true if the response to the caller had started before the attempt, and after
+	// is the id of the last event that it had received.
+	resumes bool
+	after   string
 	// timeToFirst is the time from the start of the attempt to the first event of a
 	// stream, or to the whole body of another response.
 	timeToFirst time.Duration
@@ -54,7 +64,7 @@
 func (a *attempt) run(ctx context.Context) bool {
 	forwarded := platform.ForwardMetadata{
 		Instance: a.target.ID, Organisation: a.organisation,
-		Left: time.Until(a.deadline), LastEvent: a.lastEvent,
+		Left: time.Until(a.deadline), LastEvent: a.after,
 	}
 	response, err := a.router.pool.Do(ctx, a.target, &target.Request{
 		Method: a.request.Method, URI: a.request.RequestURI, Host: a.request.Host,
@@ -78,7 +88,7 @@
 		return a.retryOrEnd(ctx, admission.Failed, true, errForeign)
 	case response.StatusCode >= http.StatusInternalServerError, claimsNotRun(response.StatusCode):
 		return a.handleFailure(ctx, response)
-	case a.started && !continuesStream(response):
+	case a.resumes && !continuesStream(response):
 		return a.retryOrEnd(ctx, admission.Failed, true, errNoStream)
 	case a.route.Kind == fleet.Stream && response.StatusCode == http.StatusOK:
 		return a.forwardStream(ctx, response)
@@ -125,7 +135,6 @@
 		outcome = admission.Misplaced
 	case response.Headers.WaitsFor != "" && response.Headers.WaitsFor != a.target.ID:
 		outcome = admission.GroupDown
-		a.groupDown = true
 	}
 	return a.retryOrEnd(ctx, outcome, false, nil)
 }
@@ -153,9 +162,12 @@
 	if err != nil {
 		return a.retryOrEnd(ctx, admission.Broken, true, err)
 	}
-	if a.route.Repeatable() && a.attempts < a.route.MaxAttempts || a.started || claimsNotRun(response.StatusCode) {
+	if a.route.Repeatable() && int(a.attempts.Load()) < a.route.MaxAttempts || a.resumes || claimsNotRun(response.StatusCode) {
 		return a.retryOrEnd(ctx, admission.Failed, true, nil)
 	}
+	if a.drop(ctx, admission.Failed, true, nil) {
+		return false
+	}
 	a.reportOutcome(admission.Failed, nil)
 	a.writeResponse(response, body)
 	return true
@@ -168,6 +180,9 @@
 	if err != nil {
 		return a.retryOrEnd(ctx, admission.Broken, true, err)
 	}
+	if !a.claim() {
+		return !a.drop(ctx, admission.Good, true, nil)
+	}
 	a.timeToFirst = time.Since(a.began)
 	if len(body) <= maxBufferedBytes {
 		a.reportOutcome(admission.Good, nil)
@@ -190,11 +205,10 @@
 func (a *attempt) forwardStream(ctx context.Context, response *target.Response) bool {
 	reader := newEventReader(response.Body)
 	controller := http.NewResponseController(a.writer)
-	resumed := a.started
 	last := time.Time{}
 	for {
 		event, id, err := reader.next()
-		if errors.Is(err, io.EOF) && a.started {
+		if errors.Is(err, io.EOF) && (a.resumes || !last.IsZero()) {
 			a.reportOutcome(admission.Good, nil)
 			a.outcome = "answered"
 			return true
@@ -204,7 +218,10 @@
 		}
 		now := time.Now()
 		if last.IsZero() {
-			a.firstEvent(now, response, id, resumed)
+			if !a.claim() {
+				return !a.drop(ctx, admission.Good, true, nil)
+			}
+			a.firstEvent(now, response, id)
 		} else {
 			a.router.core.HandleEvent(admission.StreamGap{Service: a.service, Target: a.target.ID, Gap: now.Sub(last)})
 			a.router.metrics.eventGap.RecordDuration(now.Sub(last))
@@ -228,14 +245,14 @@
 
 // firstEvent stops the attempt's timer, reports the time to the first event, and starts
 // the response unless an earlier attempt has started it.
-func (a *attempt) firstEvent(now time.Time, response *target.Response, id string, resumed bool) {
+func (a *attempt) firstEvent(now time.Time, response *target.Response, id string) {
 	if a.timer != nil {
 		a.timer.Stop()
 	}
 	a.timeToFirst = now.Sub(a.began)
 	a.router.metrics.timeToFirst.RecordDuration(now.Sub(a.exchange.began))
 	a.router.core.HandleEvent(admission.AttemptResult{ID: a.id, Service: a.service, Target: a.target.ID, Incarnation: a.target.Incarnation, Outcome: admission.Good, TimeToFirstOutput: a.timeToFirst})
-	if resumed {
+	if a.resumes {
 		events.Log(a.logger, events.StreamResumed, log.Fields{"target": a.target.ID, "after": a.lastEvent, "id": id})
 		return
 	}
@@ -257,11 +274,12 @@
 // retryOrEnd requests another target if the request may be retried, and otherwise ends
 // the request. It reports whether the request is finished.
 func (a *attempt) retryOrEnd(ctx context.Context, outcome admission.Outcome, attemptMayHaveRun bool, cause error) bool {
-	switch cause := context.Cause(ctx); {
-	case ctx.Err() == nil || errors.Is(cause, errAttemptTimeout):
-	case errors.Is(cause, errMoved):
-		outcome = admission.Moved
-	default:
+	if a.drop(ctx, outcome, attemptMayHaveRun, cause) {
+		return false
+	}
+	a.groupDown = a.groupDown || outcome == admission.GroupDown
+	outcome, ended := endOf(ctx, outcome)
+	if ended {
 		a.mayHaveRun = a.mayHaveRun || attemptMayHaveRun
 		a.reportOutcome(admission.Good, nil) // The caller disconnected, the deadline passed, or the instance stops.
 		a.expire(ctx)
@@ -280,6 +298,19 @@
 	return false
 }
 
+// endOf returns the outcome of an attempt that failed with an outcome, or was cancelled
+// before, and whether the request has ended with it.
+func endOf(ctx context.Context, outcome admission.Outcome) (admission.Outcome, bool) {
+	switch cause := context.Cause(ctx); {
+	case ctx.Err() == nil || errors.Is(cause, errAttemptTimeout):
+		return outcome, false
+	case errors.Is(cause, errMoved):
+		return admission.Moved, false
+	default:
+		return admission.Good, true
+	}
+}
+
 // reportOutcome logs the outcome of the attempt and reports it to the core.
 func (a *attempt) reportOutcome(outcome admission.Outcome, cause error) {
 	fields := log.Fields{
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"chervilswitch.example/platform"
@@ -73,7 +74,7 @@
 	mayHaveRun bool
 	// groupDown reports whether a target refused because its group waits for a rank.
 	groupDown bool
-	attempts  int
+	attempts  atomic.Int32
 	status    int
 	outcome   string
 }
@@ -106,7 +107,7 @@
 	x.id, x.decisions = x.router.core.Submit(admission.Request{
 		Service: x.service, Organisation: x.organisation, Priority: x.priority,
 		Objective: x.route.Objective, Elapsed: elapsed, Deadline: x.deadline,
-		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(), SharedParts: x.headers.SharedParts, Identity: x.identity,
+		MaxGap: x.route.MaxGap, MaxAttempts: x.route.MaxAttempts, Movable: x.movable(), Repeatable: x.route.Repeatable(), SharedParts: x.headers.SharedParts, Identity: x.identity,
 	})
 	defer x.router.core.Finish(x.id)
 	for {
@@ -179,28 +180,45 @@
 // attempt sends the request to one target. It reports whether the request is finished;
 // otherwise another decision of the core follows.
 func (x *exchange) attempt(ctx context.Context, d admission.Dispatch) bool {
-	x.attempts++
 	events.Log(x.logger, events.RequestDispatched, log.Fields{
 		"service": x.service, "route": x.route.Name, "organisation": x.organisation, "target": d.Target.ID,
 		"sharedParts": x.headers.SharedParts, "identity": x.identity,
 		"attempt": d.Attempt, "waited": d.Waited.String(), "running": d.Running, "limit": d.Limit, "version": x.version,
 	})
-	a := attempt{exchange: x, target: d.Target, began: time.Now()}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	if d.HedgeAfter > 0 {
+		return x.runPair(ctx, d)
+	}
+	a, ctx := x.begin(ctx, d.Target, nil)
+	defer a.end()
+	return a.run(ctx)
+}
+
+// begin returns an attempt that run executes and end ends, and its context. The pair is nil
+// if no second attempt may follow.
+func (x *exchange) begin(ctx context.Context, t fleet.Target, p *pair) (*attempt, context.Context) {
+	x.attempts.Add(1)
+	a := &attempt{exchange: x, target: t, pair: p, resumes: x.started, after: x.lastEvent, began: time.Now()}
+	ctx, a.cancel = context.WithCancelCause(ctx)
 	if timeout := x.attemptTimeout(); timeout > 0 {
 		a.timer = time.NewTimer(timeout)
-		defer a.timer.Stop()
 	}
 	if x.movable() || a.timer != nil {
-		go a.watch(ctx, cancel)
+		go a.watch(ctx)
+	}
+	return a, ctx
+}
+
+// end releases what the attempt holds.
+func (a *attempt) end() {
+	a.cancel(nil)
+	if a.timer != nil {
+		a.timer.Stop()
 	}
-	return a.run(ctx)
 }
 
 // watch cancels an attempt that is to continue at another target: its timer has expired
 // while its group is not stalled, or the core moves the request.
-func (a *attempt) watch(ctx context.Context, cancel context.CancelCauseFunc) {
+func (a *attempt) watch(ctx context.Context) {
 	var expired <-chan time.Time
 	wasStalled := false
 	if a.timer != nil {
@@ -211,7 +229,7 @@
 		case <-ctx.Done():
 			return
 		case <-a.decisions.MoveRequested:
-			cancel(errMoved)
+			a.leaveTarget()
 			return
 		case <-expired:
 			switch groupStalled := a.router.core.Stalled(a.service, a.target.ID); {
@@ -222,7 +240,7 @@
 				wasStalled = false
 				a.timer.Reset(stallGrace)
 			default:
-				cancel(errAttemptTimeout)
+				a.cancel(errAttemptTimeout)
 				return
 			}
 		}
@@ -235,7 +253,7 @@
 // attemptTimeout returns how long an attempt may take without a response before
 // another target is tried; 0 means that only the request's deadline applies.
 func (x *exchange) attemptTimeout() time.Duration {
-	if !x.route.Repeatable() || x.attempts >= x.route.MaxAttempts {
+	if !x.route.Repeatable() || int(x.attempts.Load()) >= x.route.MaxAttempts {
 		return 0
 	}
 	if x.route.Kind == fleet.Stream {
@@ -296,7 +314,7 @@
 	took := time.Since(x.began)
 	x.router.metrics.recordRequest(x.outcome, took)
 	events.Log(x.logger, events.RequestEnded, log.Fields{
-		"service": x.service, "outcome": x.outcome, "status": x.status, "attempts": x.attempts,
+		"service": x.service, "outcome": x.outcome, "status": x.status, "attempts": x.attempts.Load(),
 		"took": took.String(), "lastEvent": x.lastEvent, "version": x.version,
 	})
 }
--- a/router/caller/options.go
+++ b/router/caller/options.go
@@ -39,6 +39,9 @@
 	// the requests, plus a number of retries per window.
 	RetryRatio float64 `json:"retryRatio"`
 	RetrySlack float64 `json:"retrySlack"`
+	// HedgeShare is the share of each service's requests, over all instances, that may get
+	// a second attempt before the first has ended. 0 turns this off.
+	HedgeShare float64 `json:"hedgeShare,omitempty"`
 	// Fencing reports whether engines refuse commands with outdated fencing tokens.
 	Fencing bool `json:"fencing"`
 	// GracePeriod is the time from SIGTERM until the process ends, even with requests in
@@ -95,6 +98,9 @@
 	if o.RetryRatio < 0 || o.RetrySlack < 0 {
 		faults.Add("retryRatio", "retryRatio and retrySlack must not be negative")
 	}
+	if o.HedgeShare < 0 || o.HedgeShare > 1 {
+		faults.Add("hedgeShare", "a share from 0 (off) to 1 is required, such as 0.02")
+	}
 	if time.Duration(o.GracePeriod) <= 0 {
 		faults.Add("gracePeriod", "a positive duration is required, such as 8s")
 	}
--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -95,6 +95,7 @@
 		},
 	}
 	r.current.Store(&options)
+	r.core.HandleEvent(admission.HedgeLimit{Share: options.HedgeShare})
 	r.lifetime, r.cancelLifetime = context.WithCancel(context.Background())
 	r.requests, r.endRequests = context.WithCancel(r.lifetime)
 	r.entries = entries.NewMembership(r.lifetime, r.self, r.core, logger)
@@ -110,8 +111,9 @@
 	}
 	r.current.Store(&fresh)
 	r.core.HandleEvent(admission.RetryBudgetChanged{RetryBudget: admission.RetryBudget{Ratio: fresh.RetryRatio, Slack: fresh.RetrySlack}})
+	r.core.HandleEvent(admission.HedgeLimit{Share: fresh.HedgeShare})
 	events.Log(r.logger, events.SettingsReloaded, log.Fields{
-		"retryRatio": fresh.RetryRatio, "retrySlack": fresh.RetrySlack,
+		"retryRatio": fresh.RetryRatio, "retrySlack": fresh.RetrySlack, "hedgeShare": fresh.HedgeShare,
 		"gracePeriod": time.Duration(fresh.GracePeriod).String(), "addressKeep": time.Duration(fresh.AddressKeep).String(),
 	})
 }
--- a/router/core/core.go
+++ b/router/core/core.go
@@ -154,6 +154,16 @@
 	return r.ID, Decisions{Next: senders.next, MoveRequested: senders.moveRequested}
 }
 
+// Hedge decides on a second attempt at a request; see admission.HedgeDue.
+func (c *Core) Hedge(id admission.RequestID) (decision admission.Hedge) {
+	c.mutex.Lock()
+	defer c.unlock()
+	for _, effect := range c.admission.Reduce(time.Now(), admission.HedgeDue{ID: id}) {
+		decision, _ = effect.(admission.Hedge)
+	}
+	return decision
+}
+
 // Finish ends a request, which receives no further decisions.
 func (c *Core) Finish(id admission.RequestID) {
 	c.mutex.Lock()
--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -32,6 +32,8 @@
 	MaxAttempts int
 	// Movable is true if the request can continue at another target while it runs.
 	Movable bool
+	// Repeatable is true if targets may execute the request more than once.
+	Repeatable bool
 	// SharedParts lists the parts of the prompt that other requests may contain as well.
 	SharedParts []string
 	// Identity is equal for requests with the same content; empty if that is not known.
@@ -181,6 +183,9 @@
 	// Running is the estimated number of requests that the target is already running,
 	// and Limit is the most that it may run. A retry may exceed the limit by one.
 	Running, Limit int
+	// HedgeAfter is the time without output after which a HedgeDue event may follow; 0 for
+	// never.
+	HedgeAfter time.Duration
 }
 
 // Move cancels a running request's attempt, so that it can continue at another target.
--- a/shared/admission/queue.go
+++ b/shared/admission/queue.go
@@ -26,6 +26,7 @@
 	answered bool
 	// refuseAt is when the request is refused if it still waits.
 	refuseAt time.Time
+	hedge    hedgeState
 }
 
 // queue orders waiting requests by priority. Within a priority it serves organisations
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -46,6 +46,7 @@
 	// timeToFirstOutput is smoothed over all targets; 0 before the first measurement.
 	timeToFirstOutput time.Duration
 	retryTokens       tokenBucket
+	hedging           hedging
 }
 
 func newService() *service {
@@ -197,6 +198,9 @@
 		if limit == 0 || st.isClosed(at, s, t.Group) {
 			continue // Retries avoid excluded ranks as well.
 		}
+		if e.hedge.choosing && !s.mayTakeHedge(at, e, t, running, limit) {
+			continue
+		}
 		limit += extra
 		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || t.notice.wait(at) > 0 || st.rateWait(at, s, t, index) > 0 {
 			continue
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -53,6 +53,7 @@
 	groupReports map[string]GroupReport // By reporting instance.
 	closedGroups map[string]bool
 	quarantine   quarantine
+	hedgeShare   float64 // See HedgeLimit.
 }
 
 // New returns the state of the instance with a name, in a data centre.
@@ -132,6 +133,8 @@
 	case RetryBudgetChanged:
 		st.retryBudget = e.RetryBudget
 		return nil
+	case HedgeLimit, HedgeDue, AttemptDropped:
+		return st.reduceHedge(at, event)
 	default:
 		return st.tick(at)
 	}
@@ -200,6 +203,7 @@
 	s := st.service(r.Service)
 	s.maxGap = max(s.maxGap, r.MaxGap)
 	s.retryTokens.tokens += st.retryBudget.Ratio * budgetShare
+	st.countForHedges(at, s)
 	e := &activeRequest{request: r, parts: r.parts(), queuedSince: at}
 	if retryAfter := st.quarantined(at, e); retryAfter > 0 {
 		return []Effect{Refuse{ID: r.ID, RetryAfter: retryAfter, Reason: Quarantined}}
@@ -307,7 +311,7 @@
 	st.requests[e.request.ID] = e
 	return Dispatch{
 		ID: e.request.ID, Target: t.Target, Attempt: e.attempts,
-		Waited: at.Sub(e.queuedSince), Running: running, Limit: s.limits()(t),
+		Waited: at.Sub(e.queuedSince), Running: running, Limit: s.limits()(t), HedgeAfter: st.hedgeAfter(at, s, e),
 	}, true
 }
 
@@ -317,6 +321,7 @@
 		t.running--
 	}
 	e.target = ""
+	st.releaseHedge(s, e)
 }
 
 // retry dispatches the request to another target, queues it, or refuses it if its
@@ -387,6 +392,9 @@
 func (st *State) applyResult(at time.Time, e AttemptResult) []Effect {
 	s := st.service(e.Service)
 	effects := st.noteEvidence(at, s, e)
+	if e.TimeToFirstOutput > 0 {
+		st.recordFirstOutput(at, s, e)
+	}
 	if t, ok := s.targets[e.Target]; ok {
 		t.recordResult(at, e)
 		if e.TimeToFirstOutput > 0 {
@@ -470,7 +478,7 @@
 		e := st.requests[id]
 		s := st.service(e.request.Service)
 		t, ok := s.targets[e.target]
-		if !ok || s.Engine == nil || !e.request.Movable || e.moving || e.attemptsRun+1 >= e.request.MaxAttempts {
+		if !ok || s.Engine == nil || !e.request.Movable || e.moving || e.hedge.target != "" || e.attemptsRun+1 >= e.request.MaxAttempts {
 			continue
 		}
 		if !s.delaysGroup(t, st.peerLoads) {
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -49,6 +49,7 @@
 	QuarantineChanged  Event = 2016
 	TargetLimitChanged Event = 2017
 	TargetNoticed      Event = 2018
+	HedgeDecided       Event = 2030
 	DutyTaken          Event = 2203
 	DutyLeft           Event = 2204
 	SwitchPlanned      Event = 2205
@@ -99,6 +100,7 @@
 	QuarantineChanged:  "quarantineChanged",
 	TargetLimitChanged: "targetLimitChanged",
 	TargetNoticed:      "targetNoticed",
+	HedgeDecided:       "hedgeDecided",
 	DutyTaken:          "dutyTaken",
 	DutyLeft:           "dutyLeft",
 	SwitchPlanned:      "switchPlanned",
