Count a group of ranks as one when a second attempt is decided

A group that stops makes every request in it late, and these were counted as many late targets, so that no second attempt started although other groups worked. Late requests now count by group, and a late target or group takes no second attempt.

--- a/shared/admission/hedge.go
+++ b/shared/admission/hedge.go
@@ -108,8 +108,9 @@
 	began, secondBegan time.Time
 	// output is true if a target has sent output for the request.
 	output bool
-	// choosing is true while a target for the second attempt is chosen.
-	choosing bool
+	// late holds the result of lateUnits while a target for the second attempt is chosen, and
+	// is nil otherwise.
+	late map[string]bool
 }
 
 // hedging is the part of a service's state that concerns second attempts.
@@ -229,13 +230,13 @@
 		return decision
 	}
 	s := st.service(e.request.Service)
-	verdict := st.quarantine.judge(at, e.parts)
+	verdict, late := st.quarantine.judge(at, e.parts), st.lateUnits(at, s, e)
 	s.retryTokens.refill(at, 0, st.retryBudget.Slack*budgetShare/float64(st.entries.count()))
 	reserve := max(0, hedgeReserve*(st.retryBudget.Slack*budgetShare/float64(st.entries.count())-1))
 	switch {
 	case s.waiting.length > 0 || st.allClosed(at, s):
 		decision.Verdict = HedgePressure
-	case st.slowAsAWhole(at, s, e):
+	case s.slowAsAWhole(at, e, late):
 		decision.Verdict = HedgeAllSlow
 	case !verdict.until.IsZero() || len(verdict.onTrial) > 0:
 		decision.Verdict = HedgeSuspect
@@ -244,18 +245,18 @@
 	case s.retryTokens.tokens < 1+reserve:
 		decision.Verdict = HedgeNoBudget
 	default:
-		return st.startHedge(at, s, e)
+		return st.startHedge(at, s, e, late)
 	}
 	return decision
 }
 
 // startHedge chooses the target of a second attempt as for a retry, among those that
 // mayTakeHedge allows, and takes a token of each budget.
-func (st *State) startHedge(at time.Time, s *service, e *activeRequest) Hedge {
+func (st *State) startHedge(at time.Time, s *service, e *activeRequest, late map[string]bool) Hedge {
 	tried := e.tried
-	e.tried, e.hedge.choosing = append(slices.Clone(tried), e.target), true
+	e.tried, e.hedge.late = append(slices.Clone(tried), e.target), late
 	t, running := s.chooseTarget(at, e, st)
-	e.tried, e.hedge.choosing = tried, false
+	e.tried, e.hedge.late = tried, nil
 	if t == nil {
 		return Hedge{ID: e.request.ID, Verdict: HedgeNoTarget}
 	}
@@ -267,38 +268,54 @@
 	return Hedge{ID: e.request.ID, Target: t.Target, Attempt: e.attempts, Running: running, Limit: s.limits()(t)}
 }
 
-// mayTakeHedge reports whether a target has enough room for a second attempt. Ranks of the
-// first one's group are left out, as all of them are as slow as the slowest.
+// mayTakeHedge reports whether a target may take a second attempt: it has enough room, and it
+// is not late or stalled itself, nor a rank of the first one's group.
 func (s *service) mayTakeHedge(at time.Time, e *activeRequest, t *target, running, limit int) bool {
-	if float64(running+1) > hedgeRoom*float64(limit) || s.stalled(at, t.Group) {
-		return false
+	unit := s.unit(t.ID)
+	return float64(running+1) <= hedgeRoom*float64(limit) && !s.stalled(at, t.Group) && !e.hedge.late[unit] && unit != s.unit(e.target)
+}
+
+// lateUnits returns the targets, or groups of ranks, that this instance waits for, and
+// whether any other request has been without output there as long as the delay.
+func (st *State) lateUnits(at time.Time, s *service, e *activeRequest) map[string]bool {
+	delay, late := s.hedging.times.hedgeDelay(at), make(map[string]bool)
+	for _, other := range st.requests {
+		if other == e || other.request.Service != e.request.Service || other.hedge.output || other.target == "" {
+			continue
+		}
+		unit := s.unit(other.target)
+		late[unit] = late[unit] || at.Sub(other.hedge.began) >= delay
 	}
-	first, ok := s.targets[e.target]
-	return t.Group == "" || ok && t.Group != first.Group
+	return late
+}
+
+// unit returns the group of a target, whose ranks are all as slow as the slowest, or the ID
+// of a target without one.
+func (s *service) unit(id string) string {
+	if t, ok := s.targets[id]; ok && t.Group != "" {
+		return t.Group
+	}
+	return id
 }
 
 // slowAsAWhole reports whether a service's answers have become as slow as those that get a
-// second attempt: half of the latest ones, or those of half of the other targets, and at
-// least two of them, that this instance waits for.
-func (st *State) slowAsAWhole(at time.Time, s *service, e *activeRequest) bool {
-	delay := s.hedging.times.hedgeDelay(at)
-	if s.hedging.times.mostlyAbove(delay) {
+// second attempt: half of the latest ones, or those of half of the other targets without
+// groups, and at least two of them, that this instance waits for.
+func (s *service) slowAsAWhole(at time.Time, e *activeRequest, late map[string]bool) bool {
+	if s.hedging.times.mostlyAbove(s.hedging.times.hedgeDelay(at)) {
 		return true
 	}
-	late := make(map[string]bool) // By target.
-	for _, other := range st.requests {
-		if other.request.Service != e.request.Service || other.hedge.output || other.target == "" || other.target == e.target {
+	count, others := 0, 0
+	for unit, isLate := range late {
+		if _, ok := s.targets[unit]; !ok || unit == e.target {
 			continue
 		}
-		late[other.target] = late[other.target] || at.Sub(other.hedge.began) >= delay
-	}
-	count := 0
-	for _, isLate := range late {
+		others++
 		if isLate {
 			count++
 		}
 	}
-	return count >= 2 && 2*count >= len(late)
+	return count >= 2 && 2*count >= others
 }
 
 // recordFirstOutput notes the first output for a request.
--- a/shared/admission/hedge_test.go
+++ b/shared/admission/hedge_test.go
@@ -322,3 +322,22 @@
 	st.Reduce(now, Submit{Request: Request{ID: 101, Service: testService, MaxAttempts: 2}})
 	c.Assert(st.services[testService].hedging.allowance.tokens, qt.Equals, hedgeBurst/4.0)
 }
+
+// Requests of two groups of ranks are late. A second attempt starts in the third one, though
+// this instance waits for nothing else.
+func TestHedgeAvoidsLateGroups(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	var ranks []fleet.Target
+	for _, id := range []string{"a1", "a2", "b1", "b2", "c1", "c2"} {
+		ranks = append(ranks, fleet.Target{ID: id, Service: testService, Group: id[:1], Slots: 12})
+	}
+	st, d := newHedgeState(c, 0.1, now, ranks...)
+	late := map[string]bool{d.Target.Group: true}
+	for id := RequestID(101); len(late) < 2; id++ {
+		late[st.Reduce(now, Submit{Request: Request{ID: id, Service: testService}})[0].(Dispatch).Target.Group] = true
+	}
+	h := due(st, now.Add(d.HedgeAfter))
+	c.Assert(h.Verdict, qt.Equals, HedgeStarted)
+	c.Assert(late[h.Target.Group], qt.IsFalse)
+}
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -198,7 +198,7 @@
 		if limit == 0 || st.isClosed(at, s, t.Group) {
 			continue // Retries avoid excluded ranks as well.
 		}
-		if e.hedge.choosing && !s.mayTakeHedge(at, e, t, running, limit) {
+		if e.hedge.late != nil && !s.mayTakeHedge(at, e, t, running, limit) {
 			continue
 		}
 		limit += extra
