Check that the losing attempt is cancelled, not left to its timeout

With an idempotent timeout of 2 s, an attempt that nobody cancels ended after 0.8 s by itself, so the test would have passed without the cancellation. The timeout is now 30 s, and the loser must end in half of the attempt's part of it. The range of hedgeShare is checked too.

--- a/router/caller/hedge_test.go
+++ b/router/caller/hedge_test.go
@@ -14,6 +14,10 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// longTimeout is the timeout of idempotent requests: an attempt that nobody cancels ends after
+// attemptShare of it.
+const longTimeout = 30 * time.Second
+
 // deployHedged starts an instance with second attempts after 60 ms, and two replicas. The
 // first of them that receives a request uses one handler, the second another.
 func deployHedged(t *testing.T, first, second platformtest.Handler) *deployment {
@@ -26,7 +30,11 @@
 		second(w, r)
 	}
 	d := deploy(t, 1, map[string]platformtest.Handler{"i-1": handler, "i-2": handler})
+	routes := testRoutes("svc")
+	routes[0].Timeout = longTimeout
+	d.store.PutConfiguration(platformtest.Configuration(2, routes, map[string]string{testKey: "org"}))
 	core := d.routers[0].core
+	d.eventually("the timeout is in force", func() bool { return core.ConfigurationVersion() == 2 })
 	core.HandleEvent(admission.HedgeLimit{Share: 1})
 	for range 32 {
 		core.HandleEvent(admission.AttemptResult{Service: "svc", TimeToFirstOutput: 30 * time.Millisecond})
@@ -60,8 +68,10 @@
 		t.Run(path, func(t *testing.T) {
 			closed := make(chan struct{}, 2)
 			d := deployHedged(t, untilClosed(closed), answer)
+			began := time.Now()
 			a := d.mustCall(platformtest.Call{Path: path, Attempt: "a"})
 			<-closed
+			d.Assert(time.Since(began).Seconds() < attemptShare/2*longTimeout.Seconds(), qt.IsTrue)
 			d.Assert(a.status, qt.Equals, http.StatusOK)
 			d.Assert(a.cut, qt.IsFalse)
 			d.Assert(platformtest.Signed(a.header), qt.IsTrue)
@@ -81,8 +91,10 @@
 // first.
 func TestFailedSecondAttemptDoesNotShow(t *testing.T) {
 	for name, fail := range map[string]platformtest.Handler{
-		"reset":    func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.Reset() },
-		"error":    func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.WriteResponse(http.StatusInternalServerError, "no") },
+		"reset": func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.Reset() },
+		"error": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			w.WriteResponse(http.StatusInternalServerError, "no")
+		},
 		"rejected": func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.RejectNotExecuted() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -127,3 +139,11 @@
 	d.Assert(d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: "a"}).status, qt.Equals, http.StatusOK)
 	d.Assert(d.runs(), qt.HasLen, 1)
 }
+
+func TestHedgeShareIsChecked(t *testing.T) {
+	c := qt.New(t)
+	for share, valid := range map[float64]bool{-0.1: false, 0: true, 0.02: true, 1: true, 1.1: false} {
+		o := Options{HedgeShare: share}
+		c.Assert(strings.Contains(o.check().Error(), "hedgeShare"), qt.Equals, !valid)
+	}
+}
