--- a/shared/admission/event.go
+++ b/shared/admission/event.go
@@ -33,6 +33,8 @@
 	MaxAttempts int
 	// Movable is true if the request can continue at another target while it runs.
 	Movable bool
+	// Repeatable is true if targets may execute the request more than once.
+	Repeatable bool
 	// SharedParts lists the parts of the prompt that other requests may contain as well.
 	SharedParts []string
 	// Work is the size of a model request.
@@ -198,6 +200,9 @@
 	// Outstanding is the engine's time for what this instance's other requests on the
 	// target, as far as their sizes are known, have still to read and to write.
 	Outstanding time.Duration
+	// HedgeAfter is the time without output after which a HedgeDue event may follow; 0 for
+	// never.
+	HedgeAfter time.Duration
 }
 
 // Move cancels a running request's attempt, so that it can continue at another target.
--- a/shared/admission/queue.go
+++ b/shared/admission/queue.go
@@ -34,6 +34,7 @@
 	advance int
 	// refuseAt is when the request is refused if it still waits.
 	refuseAt time.Time
+	hedge    hedgeState
 }
 
 // rank returns the priority at which the request waits.
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -45,6 +45,7 @@
 	// timeToFirstOutput is smoothed over all targets; 0 before the first measurement.
 	timeToFirstOutput time.Duration
 	retryTokens       tokenBucket
+	hedging           hedging
 }
 
 func newService() *service {
@@ -124,10 +125,22 @@
 
 // recordStart counts a new running request on a target.
 func (s *service) recordStart(at time.Time, t *target, e *activeRequest) {
+	s.noteIdle(at, t)
+	t.start(e, s.Engine)
+}
+
+// recordSecondStart counts a second attempt at a request on a target. Its work counts as the
+// mean until it is the only attempt.
+func (s *service) recordSecondStart(at time.Time, t *target) {
+	s.noteIdle(at, t)
+	t.running++
+}
+
+// noteIdle notes that an idle group of a target receives a request.
+func (s *service) noteIdle(at time.Time, t *target) {
 	if s.groupRunning(t.Group) == 0 {
 		s.passModelOf(t.Group).lastOutput = at
 	}
-	t.start(e, s.Engine)
 }
 
 // groupRunning returns the number of this instance's requests that run on a group.
@@ -197,6 +210,9 @@
 		if limit == 0 || st.isClosed(at, s, t.Group) {
 			continue // Retries avoid excluded ranks as well.
 		}
+		if e.hedge.late != nil && !s.mayTakeHedge(at, e, t, running, limit) {
+			continue
+		}
 		limit += extra
 		if running >= limit || at.Before(t.backoffUntil) || slices.Contains(e.tried, t.ID) || t.notice.wait(at) > 0 || st.rateWait(at, s, t, index) > 0 || !s.hasMemory(t, running, e.request.Work) {
 			continue
--- a/shared/admission/work.go
+++ b/shared/admission/work.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// endSecond counts a second attempt as no longer running on a target.
+func (t *target) endSecond() { t.running = max(0, t.running-1) }
+
 // progress subtracts what a target has done for a request since its last event.
 func (st *State) progress(s *service, id RequestID, targetID string) {
 	e, ok := st.requests[id]
--- a/shared/events/events.go
+++ b/shared/events/events.go
@@ -52,6 +52,7 @@
 	TargetNoticed      Event = 2018
 	PressureChanged    Event = 2024
 	ShareChanged       Event = 2025
+	HedgeDecided       Event = 2030
 	DutyTaken          Event = 2203
 	DutyLeft           Event = 2204
 	SwitchPlanned      Event = 2205
@@ -105,6 +106,7 @@
 	TargetNoticed:      "targetNoticed",
 	PressureChanged:    "pressureChanged",
 	ShareChanged:       "shareChanged",
+	HedgeDecided:       "hedgeDecided",
 	DutyTaken:          "dutyTaken",
 	DutyLeft:           "dutyLeft",
 	SwitchPlanned:      "switchPlanned",
