--- a/shared/admission/demand.go
+++ b/shared/admission/demand.go
@@ -205,7 +205,7 @@
 	offered, refused      float64
 }
 
-// own returns the demand of this instance by priority, the most urgent first.
+// ownLevels returns the demand of this instance by priority, the most urgent first.
 func (s *service) ownLevels(at time.Time) []levelSum {
 	sums := make(map[int]*levelSum)
 	sum := func(priority int) *levelSum {
