Confirm the store to checkers often enough for the bound of a draining target

A poll that a reader has begun still ends well after the store has refused it (1 s), and checkers count as covered for 1.5 s more. Change: readers poll for 0.7 s, and a confirmation counts for 1.1 s. The number of readers' polls in TestCallsOfALargeFleet is computed from that constant; it was written for polls of 1 s.

--- a/router/store/follower.go
+++ b/router/store/follower.go
@@ -23,7 +23,7 @@
 	longPollTimeout = 2 * time.Second
 	// readerPollTimeout is the longPollTimeout of the operators' topic at instances that read
 	// for a large fleet: the others see by its end that the store serves them.
-	readerPollTimeout = time.Second
+	readerPollTimeout = 700 * time.Millisecond
 	// checkerPollTimeout is the longPollTimeout of the operators' topic at instances that
 	// also learn from others that their configuration is current.
 	checkerPollTimeout = 25 * time.Second
@@ -58,7 +58,7 @@
 	// shows that the store serves it. It exceeds readerPollTimeout and the interval of
 	// messages together, and is shorter than the 2 s after which a draining target gets no
 	// new requests.
-	confirmedWithin = 1500 * time.Millisecond
+	confirmedWithin = 1100 * time.Millisecond
 	// coverageInterval is how often a checker compares what it hears with these bounds.
 	coverageInterval = 200 * time.Millisecond
 	// retryInterval is the pause between calls while the store is unavailable, and
