Free the target before a response is written to its caller

Profiles showed the twelve places of the targets held by writes to callers that do not read, which kept them until the route's timeout; so did the smaller buffer for responses while room was short.

Change: a complete response ends its request in the core and gives the target's connection back before it is written; Body.Close may be called twice. The smaller buffer is gone: responses count, and whoever has not read the most for longest is closed at once when they exceed the room.

--- a/router/caller/attempt.go
+++ b/router/caller/attempt.go
@@ -162,16 +162,15 @@
 }
 
 // forwardResponse forwards a response that is not an event stream. It buffers up to
-// maxBufferedBytes, less while callers hold much, so that a response that is cut off within them can be retried.
+// maxBufferedBytes, so that a response that is cut off within them can be retried.
 func (a *attempt) forwardResponse(ctx context.Context, response *target.Response) bool {
-	limit := a.responseBytes()
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
 		return a.retryOrEnd(ctx, admission.Broken, true, err)
 	}
 	a.client.Add(int64(cap(body)))
 	a.timeToFirst = time.Since(a.began)
-	if len(body) <= limit {
+	if len(body) <= maxBufferedBytes {
 		a.reportOutcome(admission.Good, nil)
 		a.writeResponse(response, body)
 		return true
--- a/router/caller/clients.go
+++ b/router/caller/clients.go
@@ -22,8 +22,6 @@
 	bodyRestTimeout = 500 * time.Millisecond
 	// minBodyBuffer is the first buffer of a body without a length.
 	minBodyBuffer = 4 << 10
-	// tightResponseBytes is the part of a response that is buffered while callers hold much.
-	tightResponseBytes = 16 << 10
 )
 
 // errBodyTooLarge is the error of a body over the limit.
@@ -167,14 +165,6 @@
 	return x.began.Add(min(whole, slowest))
 }
 
-// responseBytes returns how much of a response is buffered before any of it is forwarded.
-func (x *exchange) responseBytes() int {
-	if x.client.HasRoom() {
-		return maxBufferedBytes
-	}
-	return tightResponseBytes
-}
-
 // reportCut returns a function that logs and counts the clients of a listener that were cut
 // off.
 func (r *Router) reportCut(listener string) func(intake.Reason, net.Addr, int, int64) {
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -253,8 +253,11 @@
 	return time.Duration(attemptShare * float64(time.Until(x.deadline)))
 }
 
-// writeResponse forwards a complete response.
+// writeResponse forwards a complete response. The place at the target and the connection are
+// free from then on: a caller that does not read must not hold them.
 func (x *exchange) writeResponse(response *target.Response, body []byte) {
+	_ = response.Body.Close() // The body is complete.
+	x.router.core.Finish(x.id)
 	x.startResponse(response)
 	if x.request.Method != http.MethodHead {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -201,6 +201,7 @@
 	// returns false if the context has already ended.
 	stop   func() bool
 	sawEOF bool
+	closed bool
 }
 
 // Read reads the body. If the body is cut off, the error is not io.EOF.
@@ -213,8 +214,12 @@
 }
 
 // Close returns the connection to the pool or closes it. It resets a connection whose
-// body was not read to its end.
+// body was not read to its end. Further calls have no effect.
 func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
 	contextActive := b.stop()
 	if contextActive && b.sawEOF && b.keep && b.conn.reader.Buffered() == 0 {
 		b.pool.put(b.address, b.conn)
--- a/shared/intake/intake.go
+++ b/shared/intake/intake.go
@@ -293,7 +293,7 @@
 		i.bytes += bytes
 		return nil, nil
 	}
-	i.makeRoom(time.Now())
+	i.makeRoom(time.Now(), patience)
 	if c.evicted {
 		return nil, ErrNoRoom.New("the client made room for others")
 	}
@@ -305,16 +305,17 @@
 }
 
 // makeRoom evicts the client that holds most for longest while it does not finish its body,
-// or does not read its response.
-func (i *Intake) makeRoom(now time.Time) {
+// or does not read its response, for a time.
+func (i *Intake) makeRoom(now time.Time, unread time.Duration) {
 	var victim *Connection
 	highest := 0.0
 	for _, c := range i.open {
 		age := now.Sub(c.since)
-		if c.evicted && c.bytes > 0 {
+		if c.evicted && c.bytes > 0 && unread > 0 {
 			return // Its bytes are about to be released.
 		}
-		if c.evicted || age < patience || c.waits || c.phase != reading && c.phase != writing {
+		mayGo := c.phase == reading && !c.waits && age > patience || c.phase == writing && age > unread
+		if c.evicted || !mayGo {
 			continue
 		}
 		if cost := float64(c.bytes) * age.Seconds(); cost > highest {
@@ -343,18 +344,8 @@
 	}
 }
 
-// HasRoom reports whether a quarter of the room is free.
-func (c *Connection) HasRoom() bool {
-	if c == nil || c.intake.MaxBytes <= 0 {
-		return true
-	}
-	c.intake.mutex.Lock()
-	defer c.intake.mutex.Unlock()
-	return c.intake.bytes <= c.intake.MaxBytes/4*3
-}
-
-// Add counts bytes of a response that is held. It does not wait: clients that do not
-// read make room.
+// Add counts bytes of a response that is held. It does not wait, since its target has done
+// the work: clients that do not read make room at once.
 func (c *Connection) Add(bytes int64) {
 	if c == nil {
 		return
@@ -365,7 +356,7 @@
 	c.bytes += bytes
 	i.bytes += bytes
 	if i.MaxBytes > 0 && i.bytes > i.MaxBytes {
-		i.makeRoom(time.Now())
+		i.makeRoom(time.Now(), 0)
 	}
 }
 
