Call the preference for a data centre locality

Cause: placement is the word for where experts are, so a reader of admission met it with two meanings.

--- a/shared/admission/placement.go
+++ b/shared/admission/locality.go
@@ -21,16 +21,16 @@
 	timesMemory = 5 * time.Second
 )
 
-// placement decides whether a request is sent to another data centre.
-type placement struct {
+// locality decides whether a request is sent to another data centre.
+type locality struct {
 	// spill is the penalty, in running requests, of a target in another data centre for
 	// each request that the best home target has room for.
 	spill float64
 }
 
-// newPlacement returns the placement under which another data centre is chosen if it has
+// newLocality returns the locality under which another data centre is chosen if it has
 // twice the room of this one.
-func newPlacement() placement { return placement{spill: 1} }
+func newLocality() locality { return locality{spill: 1} }
 
 // candidate is a target that has room for a request.
 type candidate struct {
@@ -44,7 +44,7 @@
 // choose returns the better one of the best targets of this and of the other data
 // centres. The preference for this one shrinks with its room, so that requests move
 // gradually and every target fills up.
-func (p placement) choose(at time.Time, s *service, home, remote candidate) candidate {
+func (p locality) choose(at time.Time, s *service, home, remote candidate) candidate {
 	switch {
 	case home.target == nil:
 		return remote
--- a/shared/admission/placement_test.go
+++ b/shared/admission/locality_test.go
@@ -32,7 +32,7 @@
 	order                  []string
 }
 
-func (p routers) play(policy placement) (result placed) {
+func (p routers) play(policy locality) (result placed) {
 	const count, ticks, tick, stateTicks = 14, 6000, 5 * time.Millisecond, 40
 	slots, start, random := 10, time.Unix(9000, 0), rand.New(rand.NewPCG(3, 9))
 	engine := testEngine()
@@ -55,7 +55,7 @@
 	states := make([]*State, count)
 	for i := range states {
 		states[i] = New(fmt.Sprint("entry-", i), centre(i), RetryBudget{})
-		states[i].placement = policy
+		states[i].locality = policy
 		states[i].Reduce(start, update)
 	}
 	running, ends, next := make(map[string]int), make(map[int][]func()), RequestID(0)
@@ -113,7 +113,7 @@
 	return result
 }
 
-// The data centres get 35, 37 and 28% of the requests. Compared with the earlier placement,
+// The data centres get 35, 37 and 28% of the requests. Compared with the earlier locality,
 // which preferred the own data centre only among targets with the same load, most requests
 // stay in it, none waits while a target elsewhere has room, and targets are loaded at least
 // as evenly: with a wave that moves between data centres, with few targets left in one, and
@@ -133,7 +133,7 @@
 		{"few plain requests", routers{targets: [3]int{1, 1, 1}, plain: true, perSecond: 37, duration: 20 * time.Millisecond}, 0.95},
 		{"many plain requests", routers{targets: [3]int{1, 1, 1}, plain: true, perSecond: 400, duration: 20 * time.Millisecond}, 0.5},
 	} {
-		before, after := load.play(placement{}), load.play(newPlacement())
+		before, after := load.play(locality{}), load.play(newLocality())
 		homeBefore, homeAfter := share(before.home, len(before.order)), share(after.home, len(after.order))
 		c.Logf("%s: home %.3f, now %.3f; spread %.2f, now %.2f; waited %d, now %d; over the slots %d, now %d of %d", load.name,
 			homeBefore, homeAfter, before.spread, after.spread, before.waited, after.waited, before.overfull, after.overfull, len(after.order))
@@ -145,9 +145,9 @@
 }
 
 // With one data centre each request goes where it went before.
-func TestPlacementInOneDataCentre(t *testing.T) {
+func TestLocalityInOneDataCentre(t *testing.T) {
 	load := routers{targets: [3]int{24, 24, 24}, perSecond: 400, duration: 1600 * time.Millisecond, oneCentre: true}
-	qt.Assert(t, load.play(newPlacement()).order, qt.DeepEquals, load.play(placement{}).order)
+	qt.Assert(t, load.play(newLocality()).order, qt.DeepEquals, load.play(locality{}).order)
 }
 
 // A plain target that is busy, slow or failing loses to a free one in another data centre;
--- a/shared/admission/service.go
+++ b/shared/admission/service.go
@@ -192,7 +192,7 @@
 }
 
 // chooseTarget returns the target with the lowest load that a request may be sent to; see
-// placement for the choice between data centres. The candidate is without a target if none
+// locality for the choice between data centres. The candidate is without a target if none
 // has room.
 func (s *service) chooseTarget(at time.Time, e *activeRequest, st *State) candidate {
 	extra := 0
@@ -227,7 +227,7 @@
 			*best = candidate{target: t, running: running, limit: limit - extra, room: room}
 		}
 	}
-	best := st.placement.choose(at, s, home, remote)
+	best := st.locality.choose(at, s, home, remote)
 	if t := best.target; t != nil {
 		s.searchOffset++
 		t.takeTokens()
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -43,7 +43,7 @@
 // State is the reducer's state. Use New to create one.
 type State struct {
 	dataCentre   string
-	placement    placement
+	locality     locality
 	retryBudget  RetryBudget
 	entries      entrySet
 	limits       targetLimits
@@ -61,7 +61,7 @@
 func New(instance, dataCentre string, retryBudget RetryBudget) *State {
 	return &State{
 		quarantine: quarantine{instance: instance},
-		dataCentre: dataCentre, placement: newPlacement(), retryBudget: retryBudget, entries: newEntrySet(instance), limits: newTargetLimits(), notices: newTargetNotices(),
+		dataCentre: dataCentre, locality: newLocality(), retryBudget: retryBudget, entries: newEntrySet(instance), limits: newTargetLimits(), notices: newTargetNotices(),
 		services: make(map[string]*service), requests: make(map[RequestID]*activeRequest), peerLoads: newPeerLoads(),
 		groupReports: make(map[string]GroupReport), closedGroups: make(map[string]bool),
 	}
