--- a/router/caller/router.go
+++ b/router/caller/router.go
@@ -213,6 +213,7 @@
 			for name, s := range r.core.Summaries() {
 				events.Log(r.logger, events.LimitsSummary, log.Fields{
 					"service": name, "targets": s.Targets, "waiting": s.Waiting, "limit": s.Limit, "gap": s.Gap.String(),
+					"pressure": s.Pressure, "chance": s.Chance, "admitted": s.Admitted, "shares": s.Shares,
 				})
 			}
 		}
--- a/shared/admission/pressure.go
+++ b/shared/admission/pressure.go
@@ -20,9 +20,9 @@
 	// guaranteedPart is the part of the mean chance of all requests that each priority and
 	// each organisation keeps.
 	guaranteedPart = 0.5
-	// probe is how much more than the room that was found is given out, so that room that
-	// has grown is noticed.
-	probe = 1.0
+	// givenPart is the part of the room that was found that is given out to requests which
+	// find no spare room, so that queues become shorter.
+	givenPart = 0.97
 	// reserveTime is the arrivals of more urgent requests for which room is kept free: those
 	// between two state messages.
 	reserveTime = 200 * time.Millisecond
@@ -98,9 +98,22 @@
 	return pressureLevel{priority: priority, admitted: 1}
 }
 
+// admitted returns the part of each priority that is admitted without spare room.
+func (p *pressure) admitted() map[int]float64 {
+	admitted := make(map[int]float64, len(p.levels))
+	for _, l := range p.levels {
+		admitted[l.priority] = l.admitted
+	}
+	return admitted
+}
+
 // urgency returns how many priorities are more urgent than the given one.
 func (p *pressure) urgency(priority int) int {
-	return len(p.levels) - len(slices.DeleteFunc(slices.Clone(p.levels), func(l pressureLevel) bool { return l.priority < priority }))
+	at := slices.IndexFunc(p.levels, func(l pressureLevel) bool { return l.priority >= priority })
+	if at < 0 {
+		return len(p.levels)
+	}
+	return at
 }
 
 // differs reports whether the requests for a service differ in priority or organisation, so
@@ -150,12 +163,9 @@
 	effects := shareChanges(name, before, p.shares)
 	if !wasOn {
 		changed := PressureChanged{
-			Service: name, On: true, Chance: p.chance, Admitted: make(map[int]float64),
+			Service: name, On: true, Chance: p.chance, Admitted: p.admitted(),
 			Waiting: int(waiting), Offered: int(offered), Refused: int(refused), Peers: len(s.demand.peers),
 		}
-		for _, l := range p.levels {
-			changed.Admitted[l.priority] = l.admitted
-		}
 		for _, r := range s.demand.peers {
 			changed.OldestReport = max(changed.OldestReport, at.Sub(r.at))
 		}
@@ -169,7 +179,7 @@
 func (p *pressure) setLevels(levels []levelSum, served, room float64, elapsed time.Duration) {
 	before := *p
 	p.levels = make([]pressureLevel, 0, len(levels))
-	left := probe * served
+	left := givenPart * served
 	for _, l := range levels {
 		left -= p.guaranteed * l.offered
 	}
@@ -179,7 +189,7 @@
 		given := max(0, min(left, (1-p.guaranteed)*l.offered))
 		left -= given
 		next := pressureLevel{priority: l.priority, admitted: 1, fading: before.level(l.priority).fading * fade}
-		if i > 0 && l.offered > 0 {
+		if l.offered > 0 {
 			next.admitted = min(1, p.guaranteed+given/l.offered)
 		}
 		if i > 0 && lacking >= max(1, pressureBegins*offered) {
@@ -234,6 +244,9 @@
 	p, priority := &s.pressure, e.request.Priority
 	organisation := s.demand.organisation(e.request.Organisation)
 	counts := s.demand.level(priority)
+	if organisation != nil {
+		organisation.offered.add(at, 1)
+	}
 	if !p.on {
 		counts.offered.add(at, 1)
 		return 0, false
@@ -249,6 +262,9 @@
 		return 0, false
 	}
 	if !counts.admitted.add(l.admitted) {
+		if p.urgency(priority) == 0 {
+			return QueueFull, true
+		}
 		return LessUrgent, true
 	}
 	if counts.advanced.add(min(1, p.guaranteed/l.admitted)) {
--- a/shared/admission/shares.go
+++ b/shared/admission/shares.go
@@ -80,7 +80,7 @@
 	}
 	// The even share of all organisations is the least that the named ones get together.
 	even := served / float64(max(len(d.organisations), len(demands)))
-	left := max(probe*served-max(0, others), even*float64(len(demands)))
+	left := max(givenPart*served-max(0, others), even*float64(len(demands)))
 	names := slices.SortedFunc(maps.Keys(demands), func(a, b string) int { return cmp.Or(cmp.Compare(demands[a], demands[b]), cmp.Compare(a, b)) })
 	over := make(map[string]float64)
 	for i, name := range names {
--- a/shared/admission/state.go
+++ b/shared/admission/state.go
@@ -178,6 +178,13 @@
 	Targets, Waiting, Limit int
 	// Gap is the smoothed gap between events in the slowest group.
 	Gap time.Duration
+	// Pressure is true while requests lack room. Chance is the part of all requests that
+	// finds room, Admitted the part of each priority that is admitted without spare room, and
+	// Shares the part of the requests of organisations above their share that is within it.
+	Pressure bool
+	Chance   float64
+	Admitted map[int]float64
+	Shares   map[string]float64
 }
 
 // Summaries returns a summary of each service, by name.
@@ -192,6 +199,9 @@
 		for _, p := range s.passModels {
 			summary.Gap = max(summary.Gap, p.gap)
 		}
+		if summary.Chance = 1; s.pressure.on {
+			summary.Pressure, summary.Chance, summary.Admitted, summary.Shares = true, s.pressure.chance, s.pressure.admitted(), maps.Clone(s.pressure.shares)
+		}
 		all[name] = summary
 	}
 	return all
