--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -48,10 +48,11 @@
 	server  *http.Server
 	mutex   sync.Mutex
 	silent  bool
+	reads   map[string]time.Time // When the last call on a topic arrived.
 }
 
 func startStore() (*store, error) {
-	s := &store{}
+	s := &store{reads: make(map[string]time.Time)}
 	s.Start()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -76,9 +77,19 @@
 	return s.silent
 }
 
+// lastRead returns when the last call on a topic arrived.
+func (s *store) lastRead(topic string) time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reads[topic]
+}
+
 // serve answers a call. While the store is silent, a call is not answered, now or later: its
 // channel returns nothing further.
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	s.reads[r.URL.Query().Get("topic")] = time.Now()
+	s.mutex.Unlock()
 	if s.isSilent() {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,7 +17,6 @@
 	root := flag.String("root", ".", "the root of the repository")
 	path := flag.String("record", "record.txt", "where the record is written")
 	trouble := flag.Bool("trouble", true, "whether the disruption is played")
-	flag.DurationVar(&silentPhase, "phase", 0, "")
 	flag.Parse()
 	os.Exit(run(flag.Arg(0), *root, *path, *trouble))
 }
