--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 [ -x target/review-2/stand ] && [ -x target/router ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-2/stand -root . -record review/7/record.txt -trouble="$trouble" silent
+exec target/review-2/stand -root . -record review/8/record.txt -trouble="$trouble" silent
--- a/review/stand/proxy.go
+++ b/review/stand/proxy.go
@@ -5,8 +5,14 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 )
 
+// keepAliveTime is the shortest time after which the client's keep-alive of the store (1 s, then
+// two probes) finds out that an idle connection is dead. The kernel answers probes to a proxy, so
+// the proxy resets the connection instead.
+const keepAliveTime = 2 * time.Second
+
 // proxy relays connections to an address. Its open connections can go silent for good, and
 // it can be cut for a time.
 type proxy struct {
@@ -24,6 +30,9 @@
 	near, far net.Conn
 	mutex     sync.Mutex
 	silent    bool
+	// unacked reports whether the client has sent bytes since. Its kernel then sends them again
+	// and makes no probes.
+	unacked bool
 }
 
 func startProxy(target netip.AddrPort) (*proxy, error) {
@@ -48,7 +57,8 @@
 	return p, nil
 }
 
-// silence makes all connections that are open now silent, and returns their number.
+// silence makes all connections that are open now silent, and returns their number. Those over
+// which the client sends nothing are reset after keepAliveTime.
 func (p *proxy) silence() int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -56,10 +66,21 @@
 		r.mutex.Lock()
 		r.silent = true
 		r.mutex.Unlock()
+		time.AfterFunc(keepAliveTime, r.probe)
 	}
 	return len(p.open)
 }
 
+// probe resets a silent connection over which the client has sent nothing.
+func (r *relay) probe() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if tcp, ok := r.near.(*net.TCPConn); ok && !r.unacked {
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
+	}
+}
+
 // cut holds back all bytes until heal, like a partition that drops packets.
 func (p *proxy) cut() {
 	p.mutex.Lock()
@@ -112,6 +133,7 @@
 		r.proxy.waitHealed()
 		r.mutex.Lock()
 		silent := r.silent
+		r.unacked = r.unacked || silent && from == r.near && n > 0
 		r.mutex.Unlock()
 		if n > 0 && !silent {
 			if _, err := to.Write(buffer[:n]); err != nil {
--- a/review/stand/silent.go
+++ b/review/stand/silent.go
@@ -20,6 +20,8 @@
 	pollAge    = 1955 * time.Millisecond
 	// watchTime is how long deposits are sent after that.
 	watchTime = 8 * time.Second
+	// maxRounds is how often the channels go silent, until the rule is broken.
+	maxRounds = 3
 )
 
 // moveConfiguration returns a configuration in which deposits go to a service.
@@ -33,13 +35,14 @@
 }
 
 // playSilent moves a route to another service right after all open channels to the store have
-// gone silent, and reports whether the old service gets requests that were sent later than
-// applyTime after the ack, while all machines are in touch.
+// gone silent, up to maxRounds times. It reports whether the old service gets requests that were
+// sent later than applyTime after the ack, while all machines are in touch.
 func playSilent(d *deployment, trouble bool) (broken bool, err error) {
 	zones := []string{"tn-north-a", "tn-north-a", "tn-north-b", "tn-north-c"}
-	d.store.PutConfiguration(moveConfiguration(1, "order-desk"))
+	services := []string{"order-desk", "ledger"}
+	d.store.PutConfiguration(moveConfiguration(1, services[0]))
 	q := newRequests()
-	for _, service := range []string{"order-desk", "ledger"} {
+	for _, service := range services {
 		for _, zone := range zones[1:] {
 			s, err := q.startShop(service+"-"+zone, 15*time.Millisecond)
 			if err != nil {
@@ -56,6 +59,16 @@
 	if err := d.startRouters(zones...); err != nil {
 		return false, err
 	}
+	for round := 0; round < maxRounds && !broken; round++ {
+		broken = d.moveRoute(q, p, round+2, services[round%2], services[(round+1)%2], trouble)
+	}
+	q.print(d.record)
+	return broken, nil
+}
+
+// moveRoute lets the channels to the store go silent, moves the route with a version from one
+// service to another, and reports whether the old service gets requests too late.
+func (d *deployment) moveRoute(q *requests, p *proxy, version int, from, to string, trouble bool) bool {
 	time.Sleep(settleTime)
 	began := time.Now()
 	for !d.store.lastRead("keyed.op").After(began) {
@@ -67,13 +80,13 @@
 		d.printf("%d open channels to the store go silent; new ones work", p.silence())
 	}
 	time.Sleep(100 * time.Millisecond)
-	d.store.PutConfiguration(moveConfiguration(2, "ledger"))
+	d.store.PutConfiguration(moveConfiguration(version, to))
 	acked := time.Now()
-	d.printf("version 2, which moves deposits from order-desk to ledger, is acknowledged")
+	d.printf("version %d, which moves deposits from %s to %s, is acknowledged", version, from, to)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for i, r := range d.routers {
-		callers.Go(func() { sendDeposits(q, r, fmt.Sprint(i+1), stop) })
+		callers.Go(func() { sendDeposits(q, r, fmt.Sprintf("v%d-%d", version, i+1), stop) })
 	}
 	time.Sleep(time.Until(silent.Add(watchTime)))
 	close(stop)
@@ -81,12 +94,11 @@
 	late, last := 0, time.Duration(0)
 	for _, s := range q.order {
 		for _, r := range s.runs {
-			if strings.HasPrefix(r.replica, "order-desk") && s.at.Sub(acked) > applyTime && s.at.Sub(silent) > inTouchAfter {
+			if s.at.After(acked) && strings.HasPrefix(r.replica, from) && s.at.Sub(acked) > applyTime && s.at.Sub(silent) > inTouchAfter {
 				late, last = late+1, max(last, s.at.Sub(acked))
 			}
 		}
 	}
-	d.printf("the old service ran %d deposits that were sent later than %s after the ack and %s after the channels went silent, the last %.3f s after the ack", late, applyTime, inTouchAfter, last.Seconds())
-	q.print(d.record)
-	return late > 0, nil
+	d.printf("%s ran %d deposits that were sent later than %s after the ack and %s after the channels went silent, the last %.3f s after the ack", from, late, applyTime, inTouchAfter, last.Seconds())
+	return late > 0
 }
