Play the case of removed replicas after silent channels with twelve routers

Cause: with four routers the requests come 2.6 to 5.2 s after the ack, and nearly all acks fall before the machines are in touch again. With twelve the removals are never passed on either: requests come until the replica ends, also to one whose removal is acked when all are in touch.

--- a/review/stand/leave.go
+++ b/review/stand/leave.go
@@ -30,7 +30,7 @@
 		zones: []string{"tn-north-a", "tn-north-a", "tn-north-b", "tn-north-c"}, desks: 6, leaving: 3,
 		drain: 2 * time.Second, touch: inTouchAfter, serveOn: 10 * time.Second,
 	}
-	largeFleet = fleet{zones: drainZones, desks: 12, leaving: 5, drain: drainTime, touch: 4 * time.Second, serveOn: 24 * time.Second}
+	largeFleet = fleet{zones: drainZones, desks: 12, leaving: 5, drain: drainTime, touch: 4 * time.Second, serveOn: drainTime + lingerTime}
 )
 
 // playLeave replaces replicas one after the other right after all open channels to the store
@@ -86,6 +86,7 @@
 		l := leaving{old, d.withdraw(old)}
 		left = append(left, l)
 		d.printf("the store has removed %s; %s has come", old.ID, fresh.ID)
+		time.AfterFunc(f.serveOn, old.Close)
 	}
 	time.Sleep(time.Until(left[len(left)-1].acked.Add(f.serveOn)))
 	close(stop)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,7 +22,7 @@
 }
 
 func run(name, root, path string, trouble bool) int {
-	plays := map[string]func(*deployment, bool) (bool, error){"drain": playDrain, "silent": playSilent, "leave": smallFleet.playLeave, "leave12": largeFleet.playLeave}
+	plays := map[string]func(*deployment, bool) (bool, error){"drain": playDrain, "silent": playSilent, "leave": largeFleet.playLeave, "leave4": smallFleet.playLeave}
 	play, ok := plays[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", name)
