Let a test of new links begin to accept once its first message is written

Cause: a fault of the test. Its bound is one byte for all new links. If the server's first read returned before the client had written its message, the server held the bytes of the stream's opening and had no room left to read the rest, so the link was closed and the test waited for ever. With the server started after the message is written, the first read takes all of it.

--- a/shared/peer/newcomers_test.go
+++ b/shared/peer/newcomers_test.go
@@ -16,16 +16,20 @@
 	c.Assert(err, qt.IsNil)
 	served := make(chan struct{})
 	limits := Limits{Links: 1, Bytes: 1}
-	go func() {
-		_ = limits.Serve(t.Context(), listener, func(context.Context, *Open, *Stream) { served <- struct{}{} })
-	}()
 	link, err := Dial(t.Context(), netip.MustParseAddrPort(listener.Addr().String()), nil)
 	c.Assert(err, qt.IsNil)
 	defer link.Close()
-	for range 3 {
+	for i := range 3 {
 		stream, err := link.Open(&Open{Kind: &Open_Entry{Entry: &EntryUpdate{Instance: "a"}}})
 		c.Assert(err, qt.IsNil)
 		defer stream.Close()
+		if i == 0 {
+			// The whole message waits for the first read: with a bound of one byte, a part of
+			// it would keep the rest from being read.
+			go func() {
+				_ = limits.Serve(t.Context(), listener, func(context.Context, *Open, *Stream) { served <- struct{}{} })
+			}()
+		}
 		<-served
 		var silent []net.Conn
 		for range 2 {
