Do not take a reset during an upload for the end of the response

Callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written.

Cause: the system reports the failure of a connection once. The goroutine that writes the upload met it and dropped it; the next read of the response then returned io.EOF, which is the end of a body without a length. A close with unread bytes and a silent link (ETIMEDOUT after 2 s) have the same effect.

Fix: tcp.Conn, a connection that keeps the failure of a write and returns it from the read that would return io.EOF. A target that ends its side in order and resets the connection later has sent all: its write fails with EPIPE, which is no failure of the response.

--- /dev/null
+++ b/router/caller/upload_test.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chervilswitch.example/platform/platformtest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// uploadBytes is the size of a body that does not fit in the sockets' buffers.
+	uploadBytes   = 1 << 20
+	uploadTimeout = 8 * time.Second
+	onceStream    = "/stream-once/"
+	eventStream   = "Content-Type: text/event-stream"
+)
+
+// deployUploads starts one entry instance and replicas that answer before they have read a
+// body. Their routes leave time for uploads and for attempts that fail slowly.
+func deployUploads(t *testing.T, replicas int, handler platformtest.Handler) *deployment {
+	handlers := make(map[string]platformtest.Handler)
+	for i := range replicas {
+		handlers["i-"+strconv.Itoa(i)] = handler
+	}
+	d := deploy(t, 1, handlers)
+	routes := append(testRoutes("svc"), platformtest.Route{Prefix: onceStream, Kind: "streaming", Service: "svc", Attempts: 1, Objective: time.Second})
+	for i := range routes {
+		routes[i].Timeout = uploadTimeout
+	}
+	d.store.PutConfiguration(platformtest.Configuration(2, routes, map[string]string{testKey: "org"}))
+	d.awaitVersion(2)
+	for _, r := range d.replicas {
+		d.Assert(r.AnswerEarly(), qt.IsNil)
+	}
+	return d
+}
+
+// upload returns a call with a long body that no other upload has.
+func upload(path, attempt string) platformtest.Call {
+	return platformtest.Call{Path: path, Attempt: attempt, Body: attempt + strings.Repeat("x", uploadBytes)}
+}
+
+// A replica answers an upload with a response without a length, sends a part of its body and
+// breaks off while the upload is being written. The part is no complete answer.
+func TestAnswerCutDuringUploadIsNotComplete(t *testing.T) {
+	const uploads = 16
+	for ending, end := range map[string]func(w *platformtest.ResponseWriter) error{
+		"reset": func(w *platformtest.ResponseWriter) error { w.Reset(); return nil },
+		"close": func(w *platformtest.ResponseWriter) error { w.Close(); return nil },
+		"silence": func(w *platformtest.ResponseWriter) error {
+			err := w.Silence()
+			time.Sleep(uploadTimeout)
+			return err
+		},
+	} {
+		for name, test := range map[string]struct {
+			path, text string
+			headers    []string
+		}{
+			"not idempotent":        {nonIdempotentPath, "part", nil},
+			"beyond the buffer":     {nonIdempotentPath, strings.Repeat("part", maxBufferedBytes/2), nil},
+			"idempotent":            {idempotentPath, "part", nil},
+			"stream":                {streamPath, expectedStream(1, 3), []string{eventStream}},
+			"stream without resume": {onceStream, expectedStream(1, 3), []string{eventStream}},
+		} {
+			t.Run(ending+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				// A replica that broke off gets few requests for some time, so each upload has one
+				// for each of its attempts.
+				d := deployUploads(t, 2*uploads, func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+					w.WriteUnframed(test.text, test.headers...)
+					time.Sleep(10 * time.Millisecond) // The upload fills the buffers.
+					if err := end(w); err != nil {
+						panic(err)
+					}
+				})
+				var group sync.WaitGroup
+				for i := range uploads {
+					group.Go(func() {
+						a, err := d.call(context.Background(), upload(test.path, strconv.Itoa(i)))
+						complete := err == nil && a.status == http.StatusOK && !a.cut
+						d.Check(complete, qt.IsFalse, qt.Commentf("upload %d", i))
+					})
+				}
+				group.Wait()
+				d.Check(len(d.runs()) >= uploads, qt.IsTrue, qt.Commentf("%d attempts", len(d.runs())))
+			})
+		}
+	}
+}
+
+// The reset of the replica arrives while the caller does not read, so that it fails the upload
+// and not a read of the response.
+func TestAnswerCutBeforeItIsReadIsNotComplete(t *testing.T) {
+	const longBody = 32 << 20 // More than the sockets buffer.
+	broken := make(chan struct{})
+	d := deployUploads(t, 1, func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+		go func() {
+			time.Sleep(200 * time.Millisecond) // All buffers are full.
+			w.Reset()
+			_ = w.Conn.Close()
+			time.Sleep(100 * time.Millisecond)
+			close(broken)
+		}()
+		w.WriteUnframed(strings.Repeat("x", longBody))
+	})
+	call := upload(nonIdempotentPath, "a")
+	call.Method, call.Key = http.MethodPost, testKey
+	request, err := call.Request(t.Context(), d.routers[0].options.Callers)
+	d.Assert(err, qt.IsNil)
+	response, err := d.client.Do(request)
+	d.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	<-broken
+	read, err := io.Copy(io.Discard, response.Body)
+	d.Assert(err, qt.IsNotNil, qt.Commentf("%d bytes look complete", read))
+}
+
+// A replica answers an upload with a whole response before it has read the body. The caller
+// gets all of it, whatever becomes of the rest of the body.
+func TestEarlyAnswerIsForwardedWhole(t *testing.T) {
+	const uploads = 12
+	readRest := func(w *platformtest.ResponseWriter) { _, _ = io.Copy(io.Discard, w.Body) }
+	pause := func(*platformtest.ResponseWriter) { time.Sleep(50 * time.Millisecond) }
+	stream := func(w *platformtest.ResponseWriter) {
+		w.StartStream()
+		for id := 1; id <= 3; id++ {
+			w.WriteEvent(id)
+		}
+		w.EndStream()
+	}
+	for answer, test := range map[string]struct {
+		paths   []string
+		respond func(w *platformtest.ResponseWriter)
+		body    string
+	}{
+		"length": {
+			[]string{nonIdempotentPath, idempotentPath},
+			func(w *platformtest.ResponseWriter) { w.WriteResponse(http.StatusOK, "whole") }, "whole",
+		},
+		"no length": {
+			[]string{nonIdempotentPath, idempotentPath},
+			func(w *platformtest.ResponseWriter) { w.WriteUnframed("whole"); w.EndWriting() }, "whole",
+		},
+		"chunked events": {[]string{streamPath, onceStream}, stream, expectedStream(1, 3)},
+		"events without length": {
+			[]string{streamPath, onceStream},
+			func(w *platformtest.ResponseWriter) {
+				w.WriteUnframed(expectedStream(1, 3), eventStream)
+				w.EndWriting()
+			}, expectedStream(1, 3),
+		},
+	} {
+		for rest, end := range map[string]func(w *platformtest.ResponseWriter){
+			"read":        readRest,
+			"read late":   func(w *platformtest.ResponseWriter) { pause(w); readRest(w) },
+			"reset":       func(w *platformtest.ResponseWriter) { w.Reset() },
+			"reset late":  func(w *platformtest.ResponseWriter) { pause(w); w.Reset() },
+			"closed":      func(w *platformtest.ResponseWriter) { w.Close() },
+			"closed late": func(w *platformtest.ResponseWriter) { pause(w); w.Close() },
+		} {
+			for _, path := range test.paths {
+				t.Run(answer+"/"+rest+path, func(t *testing.T) {
+					t.Parallel()
+					d := deployUploads(t, uploads, func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+						test.respond(w)
+						end(w)
+					})
+					var group sync.WaitGroup
+					for i := range uploads {
+						group.Go(func() {
+							a, err := d.call(context.Background(), upload(path, strconv.Itoa(i)))
+							d.Check(err, qt.IsNil)
+							d.Check(a.status, qt.Equals, http.StatusOK)
+							d.Check(a.cut, qt.IsFalse)
+							d.Check(a.body, qt.Equals, test.body)
+						})
+					}
+					group.Wait()
+					d.Check(len(d.runs()) >= uploads, qt.IsTrue, qt.Commentf("%d attempts", len(d.runs())))
+				})
+			}
+		}
+	}
+}
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chervilswitch.example/platform"
+	"chervilswitch.example/shared/tcp"
 
 	"golang.org/x/sys/unix"
 )
@@ -41,7 +42,7 @@
 
 // conn is one connection to a target; it serves one request at a time.
 type conn struct {
-	net    net.Conn
+	net    *tcp.Conn
 	reader *bufio.Reader
 	// limited is what reader reads from.
 	limited *limitedReader
@@ -62,7 +63,7 @@
 		})
 		return errors.Join(err, failure)
 	}}
-	opened, err := dialer.DialContext(ctx, "tcp", address.String())
+	opened, err := tcp.Dial(ctx, &dialer, address)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "connect to %s", address)
 	}
@@ -92,10 +93,7 @@
 // abort closes the connection with a reset, which discards bytes that are still in
 // transit: a target that resumes later does not receive an abandoned request.
 func (c *conn) abort() {
-	if tcp, ok := c.net.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // It fails only on a closed connection.
-	}
-	_ = c.net.Close()
+	_ = c.net.Reset() // It fails only on a closed connection.
 }
 
 // usable reports whether an idle connection has not expired, is open and has received no
@@ -104,7 +102,7 @@
 	if now.Sub(c.idleSince) >= c.keep || c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.net.(syscall.Conn).SyscallConn()
+	raw, err := c.net.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -142,8 +140,8 @@
 		return w.Flush()
 	}
 	go func() {
-		// A failed write also fails the read of the response; the connection is not
-		// reused.
+		// A failed write also fails the read of a response that has not ended; the
+		// connection is not reused.
 		if err := w.Flush(); err == nil {
 			_, _ = c.net.Write(r.Body)
 		}
--- /dev/null
+++ b/shared/tcp/conn_test.go
@@ -0,0 +1,85 @@
+package tcp
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// connect returns both ends of a connection.
+func connect(c *qt.C) (*Conn, *net.TCPConn) {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	conn, err := Dial(c.Context(), &net.Dialer{}, netip.MustParseAddrPort(listener.Addr().String()))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	peer, err := listener.AcceptTCP()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = peer.Close() })
+	return conn, peer
+}
+
+// writeForever writes until a write fails, and returns a channel with its error.
+func writeForever(conn *Conn) <-chan error {
+	failed := make(chan error, 1)
+	go func() {
+		for {
+			if _, err := conn.Write(make([]byte, 64<<10)); err != nil {
+				failed <- err
+				return
+			}
+		}
+	}()
+	return failed
+}
+
+// The write meets the reset, so that the read would return io.EOF.
+func TestReadReportsFailureThatWriteHasMet(t *testing.T) {
+	c := qt.New(t)
+	conn, peer := connect(c)
+	_, err := io.WriteString(peer, "part")
+	c.Assert(err, qt.IsNil)
+	failed := writeForever(conn)
+	c.Assert(peer.SetLinger(0), qt.IsNil)
+	c.Assert(peer.Close(), qt.IsNil)
+	c.Assert(<-failed, qt.ErrorIs, syscall.ECONNRESET)
+	received, err := io.ReadAll(conn)
+	c.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+	c.Assert(string(received), qt.Equals, "part")
+}
+
+// The peer has sent all before it resets the connection.
+func TestReadOfAllBeforeResetIsComplete(t *testing.T) {
+	c := qt.New(t)
+	conn, peer := connect(c)
+	_, err := io.WriteString(peer, "whole")
+	c.Assert(err, qt.IsNil)
+	c.Assert(peer.CloseWrite(), qt.IsNil)
+	failed := writeForever(conn)
+	time.Sleep(20 * time.Millisecond) // The end arrives before the reset.
+	c.Assert(peer.SetLinger(0), qt.IsNil)
+	c.Assert(peer.Close(), qt.IsNil)
+	c.Assert(<-failed, qt.ErrorIs, syscall.EPIPE)
+	received, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(received), qt.Equals, "whole")
+}
+
+// The peer ends its side and does not read: the read does not wait for the write.
+func TestReadEndsBesideBlockedWrite(t *testing.T) {
+	c := qt.New(t)
+	conn, peer := connect(c)
+	writeForever(conn)
+	_, err := io.WriteString(peer, "whole")
+	c.Assert(err, qt.IsNil)
+	c.Assert(peer.CloseWrite(), qt.IsNil)
+	received, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(received), qt.Equals, "whole")
+}
