Take no response whose status is outside 100 to 599

Callers saw: a replica in trouble answers with the status 000. The system took it for an interim response and what followed for the response, so that a body that reads like a response of its own reached callers as one (MIXED). A status from 600 on reached them as the answer to a request that may run once.

Cause: net/http accepts each number of three digits, and the reader took each status below 200 for an interim one.

Fix: the reader checks the status. The attempt is broken: a request that may run once ends with 502, others are tried at another target.

--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chervilswitch.example/platform"
+	"chervilswitch.example/shared/http1"
 	"chervilswitch.example/shared/tcp"
 
 	"golang.org/x/sys/unix"
@@ -160,6 +161,9 @@
 		if err != nil {
 			return nil, platform.TargetHeaders{}, err
 		}
+		if err := http1.CheckStatus(response); err != nil {
+			return nil, platform.TargetHeaders{}, err
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, platform.TargetHeaders{}, errSwitching
 		}
