Take no response with a malformed header line

Callers saw: a replica in trouble sends a head in which the name of a field holds a blank, as in "Content-Length : 9". They got the response with a body that was not the replica's, or with that line joined to the one before it (MIXED).

Cause: net/http accepts blanks in names, and such a name is not the one that it looks like, so the response has no length or other chunks than it says. It also joins a line that begins with a blank to the line before. The reader passed on what net/http accepts.

Fix: http1.Reader checks the lines of a head as they arrive, before net/http reads them from the same buffer, also those of interim responses. It bounds heads to 64 KiB as the limited reader did that it replaces.

Evidence: TestResponseWithMalformedFieldIsNotForwarded (33 heads in a response, a stream and an interim response) failed before in 28 of 99 cases: blanks in names and lines that begin with a blank, 10 of the 33 heads. Control bytes, lines without a colon or a name and control bytes in values held before too, and stay tested. Now all 99 hold. TestLongHeadIsForwarded held before and holds now: a head of over 40 KB, also in pieces. All tests of router/caller passed in one run (214 s).

--- a/router/caller/malformed_test.go
+++ b/router/caller/malformed_test.go
@@ -1,9 +1,12 @@
 package caller
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"chervilswitch.example/platform/platformtest"
 
@@ -56,3 +59,79 @@
 		}
 	}
 }
+
+// A line of the head that is no header field makes the head no head of a response: the line
+// may be the one that says where the body ends.
+func TestResponseWithMalformedFieldIsNotForwarded(t *testing.T) {
+	const framed = "Content-Length: 9\r\n\r\n" + malformedText
+	fields := map[string]string{
+		"blank in name":            "X Name: v\r\n" + framed,
+		"blanks around name":       "Server-Signature: s\r\nX Name : v\r\n" + framed,
+		"blank before colon":       "X-Name : v\r\n" + framed,
+		"tab before colon":         "X-Name\t: v\r\n" + framed,
+		"length with blank":        "Content-Length : 3\r\n\r\n" + malformedText,
+		"second length with blank": "Content-Length : 3\r\n" + framed,
+		"chunks with blank":        "Transfer-Encoding : chunked\r\n\r\n9\r\n" + malformedText + "\r\n0\r\n\r\n",
+		"blank before length":      " Content-Length: 3\r\n\r\n" + malformedText,
+		"tab before length":        "\tContent-Length: 3\r\n\r\n" + malformedText,
+		"length in folded line":    "X-Name: v\r\n Content-Length: 3\r\n" + framed,
+		"blank line of blanks":     "X-Name: v\r\n  \r\n" + framed,
+		"no colon":                 "X-Name\r\n" + framed,
+		"no name":                  ": v\r\n" + framed,
+		"other bytes":              "X-N\xe4me: v\r\n" + framed,
+		"separator":                "X(Name): v\r\n" + framed,
+		"carriage return in value": "X-Name: v\rContent-Length: 3\r\n" + framed,
+		"escape in value":          "X-Name: \x1b[2J\r\n" + framed,
+	}
+	for _, control := range []string{"\x00", "\x01", "\x08", "\x0b", "\x0c", "\r", "\x1f", "\x7f"} {
+		fields[fmt.Sprintf("%q in name", control)] = "X" + control + "Name: v\r\n" + framed
+		fields[fmt.Sprintf("%q before colon of length", control)] = "Content-Length" + control + ": 3\r\n\r\n" + malformedText
+	}
+	for name, rest := range fields {
+		for where, respond := range map[string]platformtest.Handler{
+			"response": func(w *platformtest.ResponseWriter, _ platformtest.Run) { w.WriteSigned("200 OK", rest) },
+			"stream": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+				text := strings.ReplaceAll(rest, malformedText, "id: 1\ndata: "+malformedText+"\n\n")
+				w.WriteSigned("200 OK", eventStream+"\r\n"+strings.ReplaceAll(text, "Content-Length: 9", "Content-Length: 24"))
+			},
+			"interim response": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+				head, _, _ := strings.Cut(rest, "\r\n\r\n")
+				_, _ = io.WriteString(w.Conn, "HTTP/1.1 103 Early Hints\r\n"+head+"\r\n\r\n")
+				w.WriteSigned("200 OK", framed)
+			},
+		} {
+			t.Run(name+"/"+where, func(t *testing.T) {
+				t.Parallel()
+				checkMalformed(t, respond)
+			})
+		}
+	}
+}
+
+// A long head is read as a short one is, in pieces of any size.
+func TestLongHeadIsForwarded(t *testing.T) {
+	var lines []string
+	for i := range 400 {
+		lines = append(lines, fmt.Sprintf("X-%d: %s", i, strings.Repeat("v", 100)))
+	}
+	for name, respond := range map[string]platformtest.Handler{
+		"at once": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			w.WriteResponse(http.StatusOK, "whole", lines...)
+		},
+		"in pieces": func(w *platformtest.ResponseWriter, _ platformtest.Run) {
+			w.WriteInPieces(1009, time.Millisecond, func() { w.WriteResponse(http.StatusOK, "whole", lines...) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, 1, map[string]platformtest.Handler{"i-1": respond})
+			for _, attempt := range []string{"a", "b"} {
+				a := d.mustCall(platformtest.Call{Path: nonIdempotentPath, Attempt: attempt})
+				d.Check(a.status, qt.Equals, http.StatusOK)
+				d.Check(a.body, qt.Equals, "whole")
+				d.Check(a.header.Get("X-399"), qt.Equals, strings.Repeat("v", 100))
+			}
+			accepted, _ := d.replicas["i-1"].Connections()
+			d.Check(accepted, qt.Equals, 1)
+		})
+	}
+}
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -32,9 +32,7 @@
 	maxStrayResponses = 2
 	// maxStrayBytes bounds the body of a response to another request.
 	maxStrayBytes = 1 << 20
-	// maxHeadBytes bounds the bytes that are read until the head of a response is complete.
-	maxHeadBytes = 64 << 10
-	// bufferBytes is the size of the read buffer and of the write buffer.
+	// bufferBytes is the size of the write buffer.
 	bufferBytes = 4 << 10
 )
 
@@ -44,9 +42,7 @@
 // conn is one connection to a target; it serves one request at a time.
 type conn struct {
 	net    *tcp.Conn
-	reader *bufio.Reader
-	// limited is what reader reads from.
-	limited *limitedReader
+	reader *http1.Reader
 	// keep is how long the connection may be idle before it is closed.
 	keep      time.Duration
 	idleSince time.Time // When the connection became idle.
@@ -68,27 +64,7 @@
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "connect to %s", address)
 	}
-	limited := &limitedReader{reader: opened}
-	return &conn{net: opened, reader: bufio.NewReaderSize(limited, bufferBytes), limited: limited, keep: idleTimeout}, nil
-}
-
-// limitedReader fails after a number of bytes while a limit is set.
-type limitedReader struct {
-	reader  io.Reader
-	limited bool
-	left    int
-}
-
-func (l *limitedReader) Read(buffer []byte) (int, error) {
-	if !l.limited {
-		return l.reader.Read(buffer)
-	}
-	if l.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := l.reader.Read(buffer[:min(len(buffer), l.left)])
-	l.left -= n
-	return n, err
+	return &conn{net: opened, reader: http1.NewReader(opened), keep: idleTimeout}, nil
 }
 
 // abort closes the connection with a reset, which discards bytes that are still in
@@ -155,15 +131,10 @@
 // late copy of an earlier one.
 func (c *conn) receive(r *Request) (*http.Response, platform.TargetHeaders, error) {
 	for range maxStrayResponses + 1 {
-		c.limited.limited, c.limited.left = true, maxHeadBytes
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.limited.limited = false
+		response, err := c.reader.ReadResponse(r.Method)
 		if err != nil {
 			return nil, platform.TargetHeaders{}, err
 		}
-		if err := http1.CheckStatus(response); err != nil {
-			return nil, platform.TargetHeaders{}, err
-		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, platform.TargetHeaders{}, errSwitching
 		}
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -40,9 +40,8 @@
 	// failed; the request may have run.
 	ErrBroken = fault.NewSentinel("target", "broken")
 
-	errHeadTooLong = errors.New("response head exceeds the maximum of 64 KiB")
-	errStray       = errors.New("target sent only responses to other requests")
-	errSwitching   = errors.New("target switches to another protocol, expected an HTTP response")
+	errStray     = errors.New("target sent only responses to other requests")
+	errSwitching = errors.New("target switches to another protocol, expected an HTTP response")
 )
 
 // ClosedByTarget reports whether an error means that the target closed or reset the
--- a/shared/http1/response.go
+++ b/shared/http1/response.go
@@ -1,8 +1,10 @@
-// Package http1 checks what net/http accepts of HTTP/1.1 responses beyond the protocol.
+// Package http1 reads HTTP/1.1 responses. It rejects what net/http accepts although it is none.
 package http1
 
 import (
+	"bytes"
 	"net/http"
+	"strings"
 
 	"chervilswitch.example/shared/fault"
 )
@@ -21,3 +23,22 @@
 	}
 	return nil
 }
+
+// checkStatusLine rejects bytes that are no response before their end has arrived.
+func checkStatusLine(line []byte) error {
+	if !bytes.HasPrefix(line, []byte("HTTP/")) {
+		return ErrMalformed.New("response begins with %q, expected HTTP/", line[:min(len(line), len("HTTP/"))])
+	}
+	return nil
+}
+
+// checkField checks a header line. net/http joins lines that begin with a blank to the line
+// before, and takes a name with blanks for an unknown one: either may be the length of the
+// body. It checks all other bytes itself.
+func checkField(line []byte) error {
+	name, _, found := strings.Cut(string(line), ":")
+	if !found || strings.ContainsAny(name, " \t") {
+		return ErrMalformed.New("response has the header line %q, expected a name without blanks and a colon", line)
+	}
+	return nil
+}
