Do not cut early responses of targets that read a long upload late

Callers saw: a target answers a long upload early, streams events for longer than 2 s and reads the rest of the upload later or not at all.

Cause: the bound of 2 s on unacknowledged bytes, which finds silent targets, also ends a connection whose peer acknowledges all and has no room for more.

Fix: once the head of the response to a long upload has arrived, the connection has no such bound; the deadline of the request bounds the response. Weighed: a link that goes silent during the rest of the upload is found at that deadline only, no longer after 2 s, and the caller sees that the response was cut. Targets that read nothing for 2 s before they answer are given up as before.

--- a/router/caller/upload_test.go
+++ b/router/caller/upload_test.go
@@ -153,6 +153,17 @@
 			func(w *platformtest.ResponseWriter) { w.WriteUnframed("whole"); w.EndWriting() }, "whole",
 		},
 		"chunked events": {[]string{streamPath, onceStream}, stream, expectedStream(1, 3)},
+		"slow events": {
+			[]string{streamPath, onceStream},
+			func(w *platformtest.ResponseWriter) {
+				w.StartStream()
+				for id := 1; id <= 6; id++ {
+					w.WriteEvent(id)
+					time.Sleep(700 * time.Millisecond)
+				}
+				w.EndStream()
+			}, expectedStream(1, 6),
+		},
 		"events without length": {
 			[]string{streamPath, onceStream},
 			func(w *platformtest.ResponseWriter) {
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -22,8 +22,8 @@
 const (
 	// dialTimeout is many times the delay between data centres.
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection
-	// is closed.
+	// unackedTimeout is how long sent bytes may stay unacknowledged, or unsent because the target
+	// does not read, before the connection is closed.
 	unackedTimeout = 2 * time.Second
 	// maxInlineBytes is the largest body that is written before the response is read; it
 	// fits in a socket's buffers.
@@ -54,11 +54,7 @@
 // dial opens a connection. Errors match ErrNotSent.
 func dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
-		var failure error
-		err := raw.Control(func(fd uintptr) {
-			failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-		})
-		return errors.Join(err, failure)
+		return setUnackedTimeout(raw, unackedTimeout)
 	}}
 	opened, err := tcp.Dial(ctx, &dialer, address)
 	if err != nil {
@@ -67,6 +63,26 @@
 	return &conn{net: opened, reader: http1.NewReader(opened), keep: idleTimeout}, nil
 }
 
+// setUnackedTimeout sets how long bytes may stay unacknowledged or unsent; 0 is as long as the
+// system allows.
+func setUnackedTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, failure)
+}
+
+// waitForReader lets the target leave the rest of a body unread for as long as it responds: the
+// context of the request bounds the response.
+func (c *conn) waitForReader() error {
+	raw, err := c.net.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUnackedTimeout(raw, 0)
+}
+
 // abort closes the connection with a reset, which discards bytes that are still in
 // transit: a target that resumes later does not receive an abandoned request.
 func (c *conn) abort() {
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -110,7 +110,11 @@
 		c.abort()
 		return nil, ErrBroken.Wrap(err, "read response from %s", t.ID)
 	}
-	keep := !response.Close && len(r.Body) <= maxInlineBytes && len(c.refused) <= maxRefused
+	inline := len(r.Body) <= maxInlineBytes
+	if !inline {
+		_ = c.waitForReader() // It fails only on a closed connection.
+	}
+	keep := !response.Close && inline && len(c.refused) <= maxRefused
 	if headers.Idle > 0 {
 		c.keep = time.Duration(idleShare * float64(headers.Idle))
 	}
--- a/shared/tcp/conn_test.go
+++ b/shared/tcp/conn_test.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -9,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 )
 
 // connect returns both ends of a connection.
@@ -54,6 +56,25 @@
 	c.Assert(string(received), qt.Equals, "part")
 }
 
+// The peer does not read, and the system gives the connection up.
+func TestReadReportsTimeoutThatWriteHasMet(t *testing.T) {
+	c := qt.New(t)
+	conn, peer := connect(c)
+	raw, err := conn.SyscallConn()
+	c.Assert(err, qt.IsNil)
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, 100)
+	})
+	c.Assert(errors.Join(err, optionErr), qt.IsNil)
+	_, err = io.WriteString(peer, "part")
+	c.Assert(err, qt.IsNil)
+	c.Assert(<-writeForever(conn), qt.ErrorIs, syscall.ETIMEDOUT)
+	received, err := io.ReadAll(conn)
+	c.Assert(err, qt.ErrorIs, syscall.ETIMEDOUT)
+	c.Assert(string(received), qt.Equals, "part")
+}
+
 // The peer has sent all before it resets the connection.
 func TestReadOfAllBeforeResetIsComplete(t *testing.T) {
 	c := qt.New(t)
