--- a/agent/target/agent.go
+++ b/agent/target/agent.go
@@ -11,6 +11,7 @@
 
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/http1"
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/platform"
@@ -95,7 +96,7 @@
 func newClient(transport *http.Transport) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport:     transport,
+		Transport:     http1.Transport{Base: transport},
 	}
 }
 
--- a/agent/target/forward.go
+++ b/agent/target/forward.go
@@ -13,6 +13,7 @@
 
 	"chervilswitch.example/shared/control"
 	"chervilswitch.example/shared/events"
+	"chervilswitch.example/shared/http1"
 	"chervilswitch.example/shared/peer"
 
 	"github.com/apex/log"
@@ -99,6 +100,9 @@
 		if interim++; interim > maxInterimResponses {
 			return errInterim
 		}
+		if err := http1.CheckHeader(http.Header(header)); err != nil {
+			return err
+		}
 		if status != http.StatusContinue {
 			o.addInterim(status, http.Header(header))
 		}
--- a/operate/desk/commands.go
+++ b/operate/desk/commands.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chervilswitch.example/shared/control"
+	"chervilswitch.example/shared/http1"
 	"chervilswitch.example/shared/operator"
 	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/platform"
@@ -37,12 +38,15 @@
 	client  *http.Client
 }
 
+func newCLI(o options, out io.Writer) *cli {
+	return &cli{options: o, out: out, client: &http.Client{Transport: http1.Transport{}, Timeout: statusTimeout}}
+}
+
 // Main executes the command line and returns the exit code.
 func Main(ctx context.Context, arguments []string, out, errorOut io.Writer) int {
 	o, err := parseOptions(arguments)
 	if err == nil {
-		c := &cli{options: o, out: out, client: &http.Client{Timeout: statusTimeout}}
-		err = c.run(ctx)
+		err = newCLI(o, out).run(ctx)
 	}
 	if err == nil {
 		return ExitOK
--- a/shared/http1/reader.go
+++ b/shared/http1/reader.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, ErrMalformed.Wrap(err, "read response")
 	}
-	if err := CheckStatus(response); err != nil {
+	if err := checkStatus(response); err != nil {
 		return nil, err
 	}
 	return response, nil
--- a/shared/http1/response.go
+++ b/shared/http1/response.go
@@ -15,9 +15,9 @@
 // maxStatus is the highest status code; RFC 9110, section 15.
 const maxStatus = 599
 
-// CheckStatus checks the status code of a response. net/http accepts each number of three
+// checkStatus checks the status code of a response. net/http accepts each number of three
 // digits. Errors match ErrMalformed.
-func CheckStatus(response *http.Response) error {
+func checkStatus(response *http.Response) error {
 	if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
 		return ErrMalformed.New("response has status %q, expected a code from 100 to %d", response.Status, maxStatus)
 	}
@@ -37,8 +37,21 @@
 // body. It checks all other bytes itself.
 func checkField(line []byte) error {
 	name, _, found := strings.Cut(string(line), ":")
-	if !found || strings.ContainsAny(name, " \t") {
+	if !found || hasBlank(name) {
 		return ErrMalformed.New("response has the header line %q, expected a name without blanks and a colon", line)
 	}
 	return nil
 }
+
+// CheckHeader checks the names of a header that net/http has read. Errors match ErrMalformed.
+func CheckHeader(h http.Header) error {
+	for name := range h {
+		if hasBlank(name) {
+			return ErrMalformed.New("response has the header name %q, expected no blanks", name)
+		}
+	}
+	return nil
+}
+
+// hasBlank reports whether a name holds white space.
+func hasBlank(name string) bool { return strings.ContainsAny(name, " \t") }
--- a/shared/platform/client.go
+++ b/shared/platform/client.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"chervilswitch.example/shared/http1"
 )
 
 const (
@@ -30,7 +32,7 @@
 func NewClient(address netip.AddrPort, transport http.RoundTripper) *Client {
 	return &Client{
 		base:       "http://" + address.String(),
-		httpClient: &http.Client{Transport: transport},
+		httpClient: &http.Client{Transport: http1.Transport{Base: transport}},
 	}
 }
 
