Do not take a reset during a call for the end of its response

Callers and operators saw: an agent passed on as complete the part of a response whose target broke off during a long upload. The store, an engine or our platform that answered a long call with a head and reset the connection got that taken for its answer: an append at offset 0, an order that was accepted.

Cause: that of resets at targets of routers. http.Transport writes requests on a goroutine of its own, which may meet the reset instead of the read.

Fix: http1.NewTransport gives http.Transport the connections of package tcp; all readers that check heads use them now.

--- a/agent/target/agent.go
+++ b/agent/target/agent.go
@@ -96,7 +96,7 @@
 func newClient(transport *http.Transport) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport:     http1.Transport{Base: transport},
+		Transport:     http1.NewTransport(transport, &net.Dialer{}),
 	}
 }
 
--- /dev/null
+++ b/agent/target/upload_test.go
@@ -0,0 +1,39 @@
+package target
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"chervilswitch.example/shared/peer"
+	"chervilswitch.example/shared/tcp/tcptest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A target answers an upload with a response without a length, sends a part of its body and
+// breaks off while the upload is being written. The part is no complete answer.
+func TestAnswerCutDuringUploadIsNotComplete(t *testing.T) {
+	const uploads, uploadBytes = 100, 1 << 20
+	submit := &peer.Submit{Method: http.MethodPost, Path: "/", Headers: peer.NewHeaders(http.Header{"Content-Length": {"1048576"}})}
+	for ending, linger := range map[string]int{"reset": 0, "close": -1} {
+		t.Run(ending, func(t *testing.T) {
+			c := qt.New(t)
+			var group sync.WaitGroup
+			for range uploads {
+				group.Go(func() {
+					_, received, err := forwardTo(t, submit, strings.NewReader(strings.Repeat("x", uploadBytes)), func(conn *net.TCPConn, _ *http.Request) {
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+						c.Check(tcptest.AwaitUnread(conn), qt.IsNil)
+						c.Check(conn.SetLinger(linger), qt.IsNil)
+					})
+					c.Check(err, qt.IsNotNil, qt.Commentf("%q looks complete", received))
+				})
+			}
+			group.Wait()
+		})
+	}
+}
--- a/shared/http1/transport_test.go
+++ b/shared/http1/transport_test.go
@@ -23,7 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			address := tcptest.Serve(t, func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, head+"\r\nbody") })
-			client := http.Client{Transport: Transport{Base: &http.Transport{}}}
+			client := http.Client{Transport: NewTransport(&http.Transport{}, &net.Dialer{})}
 			_, err := client.Get("http://" + address.String())
 			c.Assert(err, qt.IsNotNil)
 		})
--- a/shared/platform/client.go
+++ b/shared/platform/client.go
@@ -27,12 +27,15 @@
 	httpClient *http.Client
 }
 
-// NewClient returns a client for the platform at an address. A nil transport means
-// http.DefaultTransport.
+// NewClient returns a client for the platform at an address. A nil transport means the zero
+// value of http1.Transport.
 func NewClient(address netip.AddrPort, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = http1.Transport{}
+	}
 	return &Client{
 		base:       "http://" + address.String(),
-		httpClient: &http.Client{Transport: http1.Transport{Base: transport}},
+		httpClient: &http.Client{Transport: transport},
 	}
 }
 
