Test that agents forward early answers whole

Callers see nothing new: a target may answer a long upload before it has read it, with a length or with an end of its side in order.

Test: TestEarlyAnswerIsForwardedWhole of agent/target.

--- a/agent/target/upload_test.go
+++ b/agent/target/upload_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"chervilswitch.example/shared/peer"
 	"chervilswitch.example/shared/tcp/tcptest"
@@ -37,3 +38,35 @@
 		})
 	}
 }
+
+// A target answers an upload with a whole response and reads the rest of the upload later, or
+// closes in order.
+func TestEarlyAnswerIsForwardedWhole(t *testing.T) {
+	const uploads, uploadBytes = 50, 1 << 20
+	submit := &peer.Submit{Method: http.MethodPost, Path: "/", Headers: peer.NewHeaders(http.Header{"Content-Length": {"1048576"}})}
+	for name, test := range map[string]struct {
+		text string
+		end  func(conn *net.TCPConn) error
+	}{
+		"length":    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", func(*net.TCPConn) error { return nil }},
+		"no length": {"HTTP/1.1 200 OK\r\n\r\nwhole", (*net.TCPConn).CloseWrite},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var group sync.WaitGroup
+			for range uploads {
+				group.Go(func() {
+					_, received, err := forwardTo(t, submit, strings.NewReader(strings.Repeat("x", uploadBytes)), func(conn *net.TCPConn, _ *http.Request) {
+						_, _ = io.WriteString(conn, test.text)
+						c.Check(test.end(conn), qt.IsNil)
+						time.Sleep(20 * time.Millisecond)
+						_, _ = io.Copy(io.Discard, conn)
+					})
+					c.Check(err, qt.IsNil)
+					c.Check(string(received), qt.Equals, "whole")
+				})
+			}
+			group.Wait()
+		})
+	}
+}
