Test uploads that break off in responses with a length or chunks

Callers see nothing new: a response with a length or chunks that is cut during an upload never looked complete, and a final error without a length is read like any other response.

Test: TestAnswerCutDuringUploadIsNotComplete has the cases "with length", "in chunks", "stream in chunks" and "failure"; it also takes a signed response of any status for complete.

--- a/router/caller/upload_test.go
+++ b/router/caller/upload_test.go
@@ -49,8 +49,7 @@
 	return platformtest.Call{Path: path, Attempt: attempt, Body: attempt + strings.Repeat("x", uploadBytes)}
 }
 
-// A replica answers an upload with a response without a length, sends a part of its body and
-// breaks off while the upload is being written. The part is no complete answer.
+// A replica answers an upload, sends a part of its response's body and breaks off while the upload is being written. The part is no complete answer.
 func TestAnswerCutDuringUploadIsNotComplete(t *testing.T) {
 	const uploads = 16
 	for ending, end := range map[string]func(w *platformtest.ResponseWriter) error{
@@ -62,22 +61,23 @@
 			return err
 		},
 	} {
-		for name, test := range map[string]struct {
-			path, text string
-			headers    []string
-		}{
-			"not idempotent":        {nonIdempotentPath, "part", nil},
-			"beyond the buffer":     {nonIdempotentPath, strings.Repeat("part", maxBufferedBytes/2), nil},
-			"idempotent":            {idempotentPath, "part", nil},
-			"stream":                {streamPath, expectedStream(1, 3), []string{eventStream}},
-			"stream without resume": {onceStream, expectedStream(1, 3), []string{eventStream}},
+		for name, test := range map[string]struct{ path, status, rest string }{
+			"not idempotent":        {nonIdempotentPath, "200 OK", "\r\npart"},
+			"idempotent":            {idempotentPath, "200 OK", "\r\npart"},
+			"beyond the buffer":     {nonIdempotentPath, "200 OK", "\r\n" + strings.Repeat("part", maxBufferedBytes/2)},
+			"failure":               {nonIdempotentPath, "500 Internal Server Error", "\r\npart"},
+			"with length":           {nonIdempotentPath, "200 OK", "Content-Length: 5\r\n\r\npart"},
+			"in chunks":             {nonIdempotentPath, "200 OK", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+			"stream":                {streamPath, "200 OK", eventStream + "\r\n\r\n" + expectedStream(1, 3)},
+			"stream without resume": {onceStream, "200 OK", eventStream + "\r\n\r\n" + expectedStream(1, 3)},
+			"stream in chunks":      {onceStream, "200 OK", eventStream + "\r\nTransfer-Encoding: chunked\r\n\r\n3f\r\n" + expectedStream(1, 3) + "\r\n"},
 		} {
 			t.Run(ending+"/"+name, func(t *testing.T) {
 				t.Parallel()
 				// A replica that broke off gets few requests for some time, so each upload has one
 				// for each of its attempts.
 				d := deployUploads(t, 2*uploads, func(w *platformtest.ResponseWriter, _ platformtest.Run) {
-					w.WriteUnframed(test.text, test.headers...)
+					w.WriteSigned(test.status, test.rest)
 					unreadErr := w.AwaitUnread()
 					time.Sleep(10 * time.Millisecond) // The upload fills the buffers.
 					if err := errors.Join(unreadErr, end(w)); err != nil {
@@ -88,8 +88,8 @@
 				for i := range uploads {
 					group.Go(func() {
 						a, err := d.call(context.Background(), upload(test.path, strconv.Itoa(i)))
-						complete := err == nil && a.status == http.StatusOK && !a.cut
-						d.Check(complete, qt.IsFalse, qt.Commentf("upload %d", i))
+						complete := err == nil && platformtest.Signed(a.header) && !a.cut
+						d.Check(complete, qt.IsFalse, qt.Commentf("upload %d: status %d", i, a.status))
 					})
 				}
 				group.Wait()
