Spoil responses in the soak with the status 000 and a blank in a field's name

Callers see nothing new: the soak's replica that spoils answers to requests that it has run also sends these two.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -393,7 +393,7 @@
 	if answers%spoilShare != 0 {
 		return false
 	}
-	switch answers / spoilShare % 4 {
+	switch answers / spoilShare % 6 {
 	case 0:
 		w.WriteUnsigned("200 OK", "Content-Length: 7\r\n\r\nspoiled")
 	case 1:
@@ -402,6 +402,10 @@
 		w.WriteResponse(http.StatusTooManyRequests, "failed")
 	case 3:
 		w.WriteResponse(http.StatusRequestTimeout, "failed")
+	case 4:
+		w.WriteSigned("000 Trouble", "Content-Length: 7\r\n\r\nspoiled")
+	case 5:
+		w.WriteSigned("200 OK", "Content-Length : 3\r\n\r\nspoiled")
 	}
 	return true
 }
