Leave targets that go silent while they answer a long upload

Fix: while the bound is lifted, the router asks the system four times a second whether the target owes a reply, to bytes or to more than one probe, and for how long it has sent none. After 2 s it resets the connection.

Evidence: TestStreamLeavesReplicaThatIsSilentDuringUpload failed before in 3 of 3 runs (cut after 8 s) and held without the lifted bound; it holds in 3 of 3 (2.5 to 2.7 s), and so do the slow events of TestEarlyAnswerIsForwardedWhole. TestSilence tells both kinds of peers apart, 5 runs. The new tests also passed once with the race detector.

--- a/router/caller/upload_test.go
+++ b/router/caller/upload_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,6 +100,29 @@
 	}
 }
 
+// A replica whose link goes silent during an upload is left before the deadline, and the
+// stream resumes at another.
+func TestStreamLeavesReplicaThatIsSilentDuringUpload(t *testing.T) {
+	var silent atomic.Bool
+	d := deployUploads(t, 2, func(w *platformtest.ResponseWriter, r platformtest.Run) {
+		if !silent.CompareAndSwap(false, true) {
+			streamEvents(1, 5)(w, r)
+			return
+		}
+		w.StartStream()
+		w.WriteEvent(1)
+		w.WriteEvent(2)
+		err := w.AwaitUnread()
+		if err = errors.Join(err, w.Silence()); err != nil {
+			panic(err)
+		}
+		time.Sleep(uploadTimeout)
+	})
+	a := d.mustCall(upload(streamPath, "a"))
+	d.Check(a.cut, qt.IsFalse)
+	d.Check(a.body, qt.Equals, expectedStream(1, 5))
+}
+
 // The reset of the replica arrives while the caller does not read, so that it fails the upload
 // and not a read of the response.
 func TestAnswerCutBeforeItIsReadIsNotComplete(t *testing.T) {
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +26,8 @@
 	// unackedTimeout is how long sent bytes may stay unacknowledged, or unsent because the target
 	// does not read, before the connection is closed.
 	unackedTimeout = 2 * time.Second
+	// silenceCheckInterval is how often a target that leaves a body unread is checked.
+	silenceCheckInterval = 250 * time.Millisecond
 	// maxInlineBytes is the largest body that is written before the response is read; it
 	// fits in a socket's buffers.
 	maxInlineBytes = 32 << 10
@@ -46,6 +49,8 @@
 	// keep is how long the connection may be idle before it is closed.
 	keep      time.Duration
 	idleSince time.Time // When the connection became idle.
+	// silent is true if the connection was reset because the target was silent.
+	silent atomic.Bool
 	// refused lists the attempts that the target has refused on this connection. They are
 	// sent over other ones: a copy of the refusal could not be told from the response.
 	refused []string
@@ -73,14 +78,30 @@
 	return errors.Join(err, failure)
 }
 
-// waitForReader lets the target leave the rest of a body unread for as long as it responds: the
-// context of the request bounds the response.
-func (c *conn) waitForReader() error {
+// awaitReader lets the target leave the rest of a body unread while it responds, until the
+// context ends. It resets the connection if the target is silent.
+func (c *conn) awaitReader(ctx context.Context) {
 	raw, err := c.net.SyscallConn()
+	if err == nil {
+		err = setUnackedTimeout(raw, 0)
+	}
 	if err != nil {
-		return err
+		return // The connection is closed, or its bound stays as it is.
+	}
+	ticker := time.NewTicker(silenceCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if silence, err := c.net.Silence(); err == nil && silence >= unackedTimeout {
+				c.silent.Store(true)
+				c.abort()
+				return
+			}
+		}
 	}
-	return setUnackedTimeout(raw, 0)
 }
 
 // abort closes the connection with a reset, which discards bytes that are still in
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -41,6 +41,7 @@
 	ErrBroken = fault.NewSentinel("target", "broken")
 
 	errStray     = errors.New("target sent only responses to other requests")
+	errSilent    = errors.New("target acknowledges nothing of a request that it answers")
 	errSwitching = errors.New("target switches to another protocol, expected an HTTP response")
 )
 
@@ -112,7 +113,13 @@
 	}
 	inline := len(r.Body) <= maxInlineBytes
 	if !inline {
-		_ = c.waitForReader() // It fails only on a closed connection.
+		readerCtx, cancel := context.WithCancel(ctx)
+		stopAbort := stop
+		stop = func() bool {
+			cancel()
+			return stopAbort()
+		}
+		go c.awaitReader(readerCtx)
 	}
 	keep := !response.Close && inline && len(c.refused) <= maxRefused
 	if headers.Idle > 0 {
@@ -210,8 +217,11 @@
 // Read reads the body. If the body is cut off, the error is not io.EOF.
 func (b *body) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		b.sawEOF = true
+	case err != nil && b.conn.silent.Load():
+		err = errSilent
 	}
 	return n, err
 }
--- a/shared/tcp/conn.go
+++ b/shared/tcp/conn.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // expired is a deadline in the past, which makes writes return at once.
@@ -87,6 +89,24 @@
 	return n, err
 }
 
+// Silence returns for how long the peer has acknowledged nothing although it owes a reply; 0 if
+// it owes none. A peer that has no room for more bytes owes a reply to a probe only.
+func (c *Conn) Silence() (time.Duration, error) {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err := errors.Join(controlErr, err); err != nil {
+		return 0, err
+	}
+	if info.Unacked == 0 && info.Probes <= 1 { // The reply to the last probe is due.
+		return 0, nil
+	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, nil
+}
+
 // Reset closes the connection with a reset, which discards bytes that are still in transit.
 func (c *Conn) Reset() error {
 	return errors.Join(c.tcp.SetLinger(0), c.tcp.Close())
--- a/shared/tcp/conn_test.go
+++ b/shared/tcp/conn_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"chervilswitch.example/shared/tcp/tcptest"
+
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sys/unix"
 )
@@ -75,6 +77,25 @@
 	c.Assert(string(received), qt.Equals, "part")
 }
 
+// A peer that does not read is not silent; one that acknowledges nothing is.
+func TestSilence(t *testing.T) {
+	const short, long = 200 * time.Millisecond, time.Second
+	for name, silent := range map[string]bool{"peer does not read": false, "peer is silent": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			conn, peer := connect(c)
+			writeForever(conn)
+			if silent {
+				c.Assert(tcptest.Silence(peer), qt.IsNil)
+			}
+			time.Sleep(long)
+			got, err := conn.Silence()
+			c.Assert(err, qt.IsNil)
+			c.Assert(got >= short, qt.Equals, silent, qt.Commentf("%s", got))
+		})
+	}
+}
+
 // The peer has sent all before it resets the connection.
 func TestReadOfAllBeforeResetIsComplete(t *testing.T) {
 	c := qt.New(t)
