Do not give up targets that begin to read a long upload late

Callers saw: a target that answered a long upload after more than 2 s without having read it, for example because it was queued, was given up after 2 s. A request that may run once got 502 although its response was due.

Cause: as for early responses, the bound on unacknowledged bytes ended a connection whose target was alive and had no room; it was lifted with the head only.

Fix: for a long body the check for silence replaces the bound from the start, where the system tells of silence; elsewhere the bound stays.

--- a/router/caller/upload_test.go
+++ b/router/caller/upload_test.go
@@ -176,6 +176,13 @@
 			[]string{nonIdempotentPath, idempotentPath},
 			func(w *platformtest.ResponseWriter) { w.WriteUnframed("whole"); w.EndWriting() }, "whole",
 		},
+		"late": {
+			[]string{nonIdempotentPath, onceStream},
+			func(w *platformtest.ResponseWriter) {
+				time.Sleep(2500 * time.Millisecond)
+				w.WriteResponse(http.StatusOK, expectedStream(1, 3), eventStream)
+			}, expectedStream(1, 3),
+		},
 		"chunked events": {[]string{streamPath, onceStream}, stream, expectedStream(1, 3)},
 		"slow events": {
 			[]string{streamPath, onceStream},
--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -23,8 +23,8 @@
 const (
 	// dialTimeout is many times the delay between data centres.
 	dialTimeout = 400 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged, or unsent because the target
-	// does not read, before the connection is closed.
+	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection
+	// is closed.
 	unackedTimeout = 2 * time.Second
 	// silenceCheckInterval is how often a target that leaves a body unread is checked.
 	silenceCheckInterval = 250 * time.Millisecond
@@ -78,15 +78,18 @@
 	return errors.Join(err, failure)
 }
 
-// awaitReader lets the target leave the rest of a body unread while it responds, until the
-// context ends. It resets the connection if the target is silent.
+// awaitReader lets the target leave a body unread until the context ends. It resets the
+// connection if the target is silent.
 func (c *conn) awaitReader(ctx context.Context) {
 	raw, err := c.net.SyscallConn()
+	if err == nil {
+		_, err = c.net.Silence()
+	}
 	if err == nil {
 		err = setUnackedTimeout(raw, 0)
 	}
 	if err != nil {
-		return // The connection is closed, or its bound stays as it is.
+		return // The connection is closed, or the system tells of no silence and keeps its bound.
 	}
 	ticker := time.NewTicker(silenceCheckInterval)
 	defer ticker.Stop()
@@ -130,8 +133,7 @@
 	return err == nil && idle
 }
 
-// send writes a request. A body longer than maxInlineBytes may exceed the socket's
-// buffers, so it is written while the response is read.
+// send writes a request. A long body is written while the response is read.
 func (c *conn) send(r *Request) error {
 	w := bufio.NewWriterSize(c.net, bufferBytes)
 	_, err := w.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -147,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	if len(r.Body) <= maxInlineBytes {
+	if !r.isLong() {
 		if _, err := w.Write(r.Body); err != nil {
 			return err
 		}
--- a/router/target/pool.go
+++ b/router/target/pool.go
@@ -64,6 +64,9 @@
 	HasBody bool
 }
 
+// isLong reports whether the body may exceed the socket's buffers.
+func (r *Request) isLong() bool { return len(r.Body) > maxInlineBytes }
+
 // Response is a target's response. Its body must be closed.
 type Response struct {
 	*http.Response
@@ -99,7 +102,16 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, c.abort)
+	ctx, cancel := context.WithCancel(ctx)
+	stopAbort := context.AfterFunc(ctx, c.abort)
+	stop := func() bool {
+		active := stopAbort()
+		cancel()
+		return active
+	}
+	if r.isLong() {
+		go c.awaitReader(ctx)
+	}
 	if err := c.send(r); err != nil {
 		stop()
 		c.abort()
@@ -111,17 +123,7 @@
 		c.abort()
 		return nil, ErrBroken.Wrap(err, "read response from %s", t.ID)
 	}
-	inline := len(r.Body) <= maxInlineBytes
-	if !inline {
-		readerCtx, cancel := context.WithCancel(ctx)
-		stopAbort := stop
-		stop = func() bool {
-			cancel()
-			return stopAbort()
-		}
-		go c.awaitReader(readerCtx)
-	}
-	keep := !response.Close && inline && len(c.refused) <= maxRefused
+	keep := !response.Close && !r.isLong() && len(c.refused) <= maxRefused
 	if headers.Idle > 0 {
 		c.keep = time.Duration(idleShare * float64(headers.Idle))
 	}
--- a/shared/tcp/tcptest/server.go
+++ b/shared/tcp/tcptest/server.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -54,7 +55,7 @@
 // those over a network do. With the system's own buffers for the loopback device, the sockets
 // hold a whole upload.
 func LimitBuffers(listener *net.TCPListener) error {
-	return setOptions(listener, func(fd int) error {
+	return withDescriptor(listener, func(fd int) error {
 		return errors.Join(
 			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, readBufferBytes),
 			unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_MAXSEG, segmentBytes),
@@ -77,20 +78,29 @@
 }
 
 // Silence makes the system drop all that arrives on a connection, as a link that is cut does:
-// nothing is acknowledged.
+// nothing is acknowledged. It waits until the peer has acknowledged all, so that nothing is
+// sent again.
 func Silence(conn *net.TCPConn) error {
+	for queued := 1; queued > 0; time.Sleep(time.Millisecond) {
+		if err := withDescriptor(conn, func(fd int) (err error) {
+			queued, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+			return err
+		}); err != nil {
+			return err
+		}
+	}
 	acceptNothing := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-	return setOptions(conn, func(fd int) error {
+	return withDescriptor(conn, func(fd int) error {
 		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &acceptNothing})
 	})
 }
 
-// setOptions calls a function with the descriptor of a socket.
-func setOptions(socket syscall.Conn, set func(fd int) error) error {
+// withDescriptor calls a function with the descriptor of a socket.
+func withDescriptor(socket syscall.Conn, use func(fd int) error) error {
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return err
 	}
-	controlErr := raw.Control(func(fd uintptr) { err = set(int(fd)) })
+	controlErr := raw.Control(func(fd uintptr) { err = use(int(fd)) })
 	return errors.Join(controlErr, err)
 }
