Count silence from the start of a request

Callers saw: a target that went silent just as a connection that had been idle was used again for a long upload was given up after 1.25 s instead of 2 s.

Cause: the check takes the time since the last acknowledgement, which on an idle connection is that of a keep-alive probe.

Fix: the time before the request does not count.

--- a/router/target/conn.go
+++ b/router/target/conn.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return // The connection is closed, or the system tells of no silence and keeps its bound.
 	}
+	began := time.Now()
 	ticker := time.NewTicker(silenceCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -98,7 +99,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if silence, err := c.net.Silence(); err == nil && silence >= unackedTimeout {
+			// A connection that was idle has had no acknowledgement for that time either.
+			silence, err := c.net.Silence()
+			if err == nil && min(silence, time.Since(began)) >= unackedTimeout {
 				c.silent.Store(true)
 				c.abort()
 				return
